--- /dev/null
+++ b/cmd/simhost/settings.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"cometpond/policy"
+)
+
+// wireSettings is the settings object as the wire words it; unknown keys are skipped.
+type wireSettings struct {
+	Balancers  int    `json:"balancers"`
+	Me         int    `json:"me"`
+	MyZone     string `json:"myZone"`
+	FamilyInfo struct {
+		MaxUnits   int     `json:"maxUnits"`
+		PeerIntake float64 `json:"peerIntake"`
+		TruedUp    bool    `json:"truedUp"`
+	} `json:"familyInfo"`
+	Feedback struct {
+		How string `json:"how"`
+	} `json:"feedback"`
+	Limits struct {
+		Cancel         bool    `json:"cancel"`
+		MaxAttempts    int     `json:"maxAttempts"`
+		MaxRetryAfterS float64 `json:"maxRetryAfterS"`
+		ParallelTries  bool    `json:"parallelTries"`
+		PeerMessages   bool    `json:"peerMessages"`
+		Probes         bool    `json:"probes"`
+		RetryAfter     bool    `json:"retryAfter"`
+	} `json:"limits"`
+	Packages []struct {
+		Name         string  `json:"name"`
+		UnitsPerS    float64 `json:"unitsPerS"`
+		PeakUnits    float64 `json:"peakUnits"`
+		Parallel     int     `json:"parallel"`
+		Pays         float64 `json:"pays"`
+		ExtraWorth   float64 `json:"extraWorth"`
+		ExcessCost   float64 `json:"excessCost"`
+		HardRate     float64 `json:"hardRate"`
+		CapDepth     float64 `json:"capDepth"`
+		CeilingSlack float64 `json:"ceilingSlack"`
+	} `json:"packages"`
+	Prices struct {
+		CrossZone float64 `json:"crossZone"`
+	} `json:"prices"`
+	Profiles []struct {
+		Name       string  `json:"name"`
+		AimS       float64 `json:"aimS"`
+		AimStretch float64 `json:"aimStretch"`
+		DeadlineS  float64 `json:"deadlineS"`
+		Effect     string  `json:"effect"`
+		KeyScope   string  `json:"keyScope"`
+		KeyTTLS    float64 `json:"keyTtlS"`
+		LateWorth  float64 `json:"lateWorth"`
+		Stream     bool    `json:"stream"`
+		Worth      float64 `json:"worth"`
+	} `json:"profiles"`
+	Rules struct {
+		AnswerSlackS float64 `json:"answerSlackS"`
+		ColdFrom     float64 `json:"coldFrom"`
+		ColdS        float64 `json:"coldS"`
+		FallMultiple float64 `json:"fallMultiple"`
+		FallS        float64 `json:"fallS"`
+	} `json:"rules"`
+	ScoreParts struct {
+		WorstTenant float64 `json:"worstTenant"`
+	} `json:"scoreParts"`
+	TickS float64 `json:"tickS"`
+}
+
+var effects = map[string]policy.Effect{"retryable": policy.Safe, "dedup": policy.Keyed, "fragile": policy.Unsafe}
+
+var scopes = map[string]policy.Scope{"": policy.ScopeAll, "all": policy.ScopeAll, "zone": policy.ScopeZone,
+	"cell": policy.ScopeCell}
+
+// settings translates the settings; whether they make sense is for policy.New to say.
+func settings(text string) (policy.Settings, error) {
+	var w wireSettings
+	if err := json.Unmarshal([]byte(text), &w); err != nil {
+		return policy.Settings{}, err
+	}
+	s := policy.Settings{
+		Me: w.Me, Gateways: w.Balancers, Zone: w.MyZone,
+		MaxUnits: w.FamilyInfo.MaxUnits, TrueUp: w.FamilyInfo.TruedUp, PeerIntake: w.FamilyInfo.PeerIntake,
+		Peers: w.Limits.PeerMessages, Probes: w.Limits.Probes, Cancel: w.Limits.Cancel,
+		Parallel: w.Limits.ParallelTries, RetryAfter: w.Limits.RetryAfter,
+		MaxAttempts: w.Limits.MaxAttempts, MaxRetryAfterS: w.Limits.MaxRetryAfterS,
+		ReportByProbe: w.Feedback.How == "probe", ReportByAnswer: w.Feedback.How == "answers",
+		AnswerSlackS: w.Rules.AnswerSlackS, ColdFrom: w.Rules.ColdFrom, ColdS: w.Rules.ColdS,
+		FallMultiple: w.Rules.FallMultiple, FallS: w.Rules.FallS,
+		TickS: w.TickS, CrossZonePrice: w.Prices.CrossZone, WorstPlanWeight: w.ScoreParts.WorstTenant,
+	}
+	for _, p := range w.Profiles {
+		effect, ok := effects[p.Effect]
+		if !ok {
+			return s, fmt.Errorf("class %s: unknown effect %q", p.Name, p.Effect)
+		}
+		scope, ok := scopes[p.KeyScope]
+		if !ok {
+			return s, fmt.Errorf("class %s: unknown keyScope %q", p.Name, p.KeyScope)
+		}
+		s.Classes = append(s.Classes, policy.Class{Name: p.Name, AimS: p.AimS, AimStretch: p.AimStretch,
+			DeadlineS: p.DeadlineS, Worth: p.Worth, LateWorth: p.LateWorth, Effect: effect, KeyScope: scope,
+			KeyTTLS: p.KeyTTLS, Stream: p.Stream})
+	}
+	for _, p := range w.Packages {
+		s.Plans = append(s.Plans, policy.Plan{Name: p.Name, Rate: p.UnitsPerS, Burst: p.PeakUnits,
+			Parallel: p.Parallel, Price: p.Pays, ExtraWorth: p.ExtraWorth, ExcessCost: p.ExcessCost,
+			CeilingRate: p.HardRate, CeilingBurst: p.CapDepth, CeilingSlack: p.CeilingSlack})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,160 @@
+// Package policy decides for one gateway of a fleet that keeps every customer
+// of a shared back end to its plan. It holds no clock, no randomness of its own
+// and no network: time and seed come in as values, and what is to be done goes
+// out through Actions. policy.go holds every decision; this file is its
+// interface; message.go is the encoding of the messages between gateways.
+package policy
+
+// Effect tells whether a class of request may run more than once.
+type Effect int
+
+// The effects of a class.
+const (
+	Safe   Effect = iota // may run any number of times
+	Keyed                // repeats are dropped by a group of servers for a time
+	Unsafe               // must not run twice
+)
+
+// Scope is the group of servers that drops the repeats of a keyed request.
+type Scope int
+
+// The scopes of a key.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class describes one class of request. Times are in seconds.
+type Class struct {
+	Name       string
+	AimS       float64 // an answer within this time earns its full worth
+	AimStretch float64 // the aim grows by this multiple of the request's own work
+	DeadlineS  float64
+	Worth      float64
+	LateWorth  float64 // share of the worth after the aim
+	Effect     Effect
+	KeyScope   Scope
+	KeyTTLS    float64
+	Stream     bool
+}
+
+// Plan describes the quota that each customer of the plan holds over all gateways.
+type Plan struct {
+	Name         string
+	Rate         float64 // units a second; 0: no such quota
+	Burst        float64 // the most units the quota holds
+	Parallel     int     // attempts out at once; 0: no such quota
+	Price        float64 // factor on the worth
+	ExtraWorth   float64 // share of the worth earned beyond the quota
+	ExcessCost   float64 // share of the worth that sending on beyond the quota costs
+	CeilingRate  float64 // 0: no ceiling
+	CeilingBurst float64
+	CeilingSlack float64
+}
+
+// Settings are fixed for the life of a Gateway. Times are in seconds.
+type Settings struct {
+	Me, Gateways int
+	Zone         string
+	Classes      []Class
+	Plans        []Plan
+
+	MaxUnits   int
+	TrueUp     bool    // units are a guess, the true ones come with the answer
+	PeerIntake float64 // messages a second that a gateway takes in
+
+	Peers, Probes, Cancel, Parallel, RetryAfter bool
+	MaxAttempts                                 int
+	MaxRetryAfterS                              float64
+	ReportByProbe, ReportByAnswer               bool
+
+	AnswerSlackS, ColdFrom, ColdS, FallMultiple, FallS float64
+
+	TickS           float64 // the least time between two batches of events
+	CrossZonePrice  float64
+	WorstPlanWeight float64 // weight of the worst-served plan in the goal
+}
+
+// State is what the list of servers says of a server.
+type State int
+
+// The states of a server.
+const (
+	Up State = iota
+	Draining
+	Removed
+)
+
+// Server is an entry of the list of servers.
+type Server struct {
+	ID, Zone string
+	Cell     int
+	State    State
+	Weight   float64
+	SinceS   float64 // when its process started; 0: long ago
+}
+
+// Request is a client's request that this gateway now owes one final answer.
+type Request struct {
+	ID, Class, Plan, Customer string
+	DeadlineS                 float64 // clock time at which the client gives up
+	First, Entries            int     // the customer's gateways: Entries in a row from First
+	Units                     float64
+	Retry                     bool
+}
+
+// Status is the way an attempt or a probe ended.
+type Status int
+
+// The ways an attempt ends.
+const (
+	OK            Status = iota
+	Error                // the server answered with an error; may have run
+	Full                 // turned away unseen; did not run
+	Timeout              // no answer in time; may have run
+	ConnectFailed        // never reached the server; did not run
+	Reset                // the connection broke; may have run
+	Cancelled            // called off; may have run
+	Moot                 // not sent
+)
+
+// Load is a server's load report. Fields that were not reported are below 0.
+type Load struct {
+	InFlight, Queue, Util, ServiceMS, ServedPerS, FailedPerS float64
+}
+
+// Outcome ends one attempt. Over tells that the request needs no answer any more.
+type Outcome struct {
+	ID, Server string
+	Attempt    int
+	Status     Status
+	Over       bool
+	SpentS     float64
+	Units      float64 // the true units, with TrueUp and OK
+	Load       *Load
+}
+
+// ProbeResult ends one probe.
+type ProbeResult struct {
+	Server string
+	Status Status
+	SpentS float64
+	Load   *Load
+}
+
+// Broadcast as the addressee of Tell means every other gateway.
+const Broadcast = -1
+
+// Actions is what a Gateway asks of its ingress. Calls happen only while one of
+// the Gateway's event methods runs, and in the order in which they are to take effect.
+type Actions interface {
+	Send(id, server string, timeoutS float64) // starts the request's next attempt
+	Refuse(id string, retryInS float64)       // final answer: trying again is harmless
+	Fail(id string)                           // final answer: promises nothing
+	Cancel(id string, attempt int)
+	SetTimer(token uint64, delayS float64)
+	Probe(server string)
+	Tell(gateway int, data []byte)
+	Log(text string)
+}
