--- a/policy/policy.go
+++ b/policy/policy.go
@@ -290,6 +290,10 @@
 
 // place sends the request on, or queues it when no server has room.
 func (g *Gateway) place(r *request) {
+	if !g.mayRetry(r) {
+		g.refuse(r) // a client's late try can arrive with no time left at all
+		return
+	}
 	if s := g.choose(r); s != nil {
 		g.send(r, s)
 		return
@@ -393,11 +397,7 @@
 	if r.over {
 		g.tidy(r)
 	} else if r.out == 0 && !r.stream {
-		if g.mayRetry(r) {
-			g.place(r)
-		} else {
-			g.refuse(r)
-		}
+		g.place(r)
 	}
 	g.drain()
 }
@@ -777,15 +777,17 @@
 	if r.Window == uint8(c.window) {
 		acked = r.Total
 	}
-	if late := c.waitFrom > 0 && g.now-c.waitFrom > missBatches*g.batch+lagS; late && acked < c.sent {
-		return // a late verdict knows less than the local window
+	if r.Window == uint8(c.window) && acked < c.acked {
+		return // a late verdict knows less than what is known already
 	}
 	c.known, c.room, c.roomAt, c.acked = true, r.Room, g.now, acked
 	c.others, c.othersOut = r.Rate, int(r.Out)
-	if acked >= c.sent {
-		c.waitFrom = 0
-	} else if c.reportAt < g.now-2*g.batch {
-		g.note(c)
+	c.waitFrom = 0
+	if acked < c.sent {
+		c.waitFrom = c.reportAt
+		if c.reportAt < g.now-2*g.batch {
+			g.note(c)
+		}
 	}
 }
 
