--- a/policy/policy.go
+++ b/policy/policy.go
@@ -117,6 +117,7 @@
 	reportAt       float64 // last report
 	dirty          bool
 	ceil, ceilAt   float64
+	pend           float64 // units of queued first sends, promised but not yet counted
 	led            *ledger
 }
 
@@ -275,17 +276,13 @@
 	if r.cust == nil || len(r.attempts) > 0 {
 		return true
 	}
-	if !g.ceilingHolds(r.cust, r.Units) {
+	if !g.ceilingHolds(r.cust, r.Units+r.cust.pend) {
 		return false
 	}
-	if g.inQuota(r.cust, r.Units) {
+	if g.inQuota(r.cust, r.Units+r.cust.pend) {
 		return true
 	}
-	if r.plan.extra && len(g.queue) == 0 {
-		r.prio *= r.plan.ExtraWorth - r.plan.ExcessCost
-		return true
-	}
-	return false
+	return r.plan.extra && len(g.queue) == 0
 }
 
 // place sends the request on, or queues it when no server has room.
@@ -298,10 +295,21 @@
 		g.send(r, s)
 		return
 	}
-	if !r.queued {
-		r.queued = true
-		g.queue = append(g.queue, r)
+	g.hold(r, true)
+	g.queue = append(g.queue, r)
+}
+
+// hold keeps the units of a queued first send apart, so that a queue can't
+// promise the same room twice.
+func (g *Gateway) hold(r *request, queued bool) {
+	if r.queued != queued && r.cust != nil && len(r.attempts) == 0 {
+		if queued {
+			r.cust.pend += r.Units
+		} else {
+			r.cust.pend -= r.Units
+		}
 	}
+	r.queued = queued
 }
 
 func (g *Gateway) send(r *request, s *server) {
@@ -442,29 +450,27 @@
 	slices.SortStableFunc(g.queue, func(a, b *request) int { return cmp.Compare(b.prio, a.prio) })
 	kept := g.queue[:0]
 	for _, r := range g.queue {
-		switch s := (*server)(nil); {
-		case r.over:
-		case g.now+r.cls.lat > r.aimAt || !g.mayRetry(r) || !g.ceilingOK(r):
-			r.queued = false
-			g.refuse(r)
-		default:
-			if s = g.choose(r); s != nil {
-				r.queued = false
-				g.send(r, s)
-			} else {
-				kept = append(kept, r)
-			}
+		if r.over {
+			g.hold(r, false)
+			continue
+		}
+		s := g.choose(r)
+		late := g.now+r.cls.lat > r.aimAt || !g.mayRetry(r)
+		if s == nil && !late {
+			kept = append(kept, r)
+			continue
+		}
+		g.hold(r, false)
+		if late || !g.admit(r) {
+			g.refuse(r) // it counts when it is sent: the room may be gone by now
+		} else {
+			g.send(r, s)
 		}
 	}
 	clear(g.queue[len(kept):])
 	g.queue = kept
 }
 
-// ceilingOK looks again at the ceiling of a queued request: it counts when first sent.
-func (g *Gateway) ceilingOK(r *request) bool {
-	return r.cust == nil || len(r.attempts) > 0 || g.ceilingHolds(r.cust, r.Units)
-}
-
 // Timer takes a timer: all work that no event brings.
 func (g *Gateway) Timer(now float64, token uint64) {
 	g.now = now
