--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,6 +35,7 @@
 	stretchHigh = 0.35  // answers that take this share of their aim shrink a server's limit
 	stretchLow  = 0.25  // and below this one it may grow
 	silentX     = 6.0   // a server that answers nothing for so many mean latencies is in doubt
+	calmShare   = 0.3   // of the limits: with less out than this, the back end is calm
 	hedgeShare  = 0.4   // of the aim: an attempt in doubt this old is tried elsewhere
 	downS       = 0.5   // a server that refuses connections is left alone so long, then probed
 	guardS      = 0.004 // margin on deadlines
@@ -260,7 +261,7 @@
 		g.asked(r.cust, q.Units)
 		g.note(r.cust)
 	}
-	r.prio = cls.Worth * price * max(q.Units, 1) / cls.lat
+	r.prio = cls.Worth * price // units stand for work as well as for worth, and cancel out
 	g.reqs[q.ID] = r
 	g.live = append(g.live, r)
 	if !g.admit(r) {
@@ -282,7 +283,21 @@
 	if g.inQuota(r.cust, r.Units+r.cust.pend) {
 		return true
 	}
-	return r.plan.extra && len(g.queue) == 0
+	return r.plan.extra && g.calm()
+}
+
+// calm tells that the back end has room to spare: nothing waits here, and less
+// than a share of what may be out is out. Only then is work beyond a quota let in
+// that earns a little.
+func (g *Gateway) calm() bool {
+	out, limit := 0, 0.0
+	for _, s := range g.order {
+		if s.State == Up && !s.doubt {
+			out += s.inflight
+			limit += s.limit
+		}
+	}
+	return len(g.queue) == 0 && float64(out) < calmShare*limit
 }
 
 // place sends the request on, or queues it when no server has room.
