--- a/policy/policy.go
+++ b/policy/policy.go
@@ -168,6 +168,7 @@
 	queue    []*request
 	custs    map[uint32]*customer
 	peers    []peer
+	patience float64 // share of the deadline that clients give a try
 	warmRate float64 // work a second sent to each warm server
 	warmAt   float64
 	sweepAt  float64
@@ -253,7 +254,17 @@
 		return
 	}
 	r := &request{Request: q, cls: cls, plan: g.byPlan[q.Plan]}
-	r.aimAt = min(now+cls.AimS+cls.AimStretch*cls.lat, q.DeadlineS)
+	// A try whose time is cut shorter than that of others is a client's later try, cut by
+	// what is left of its first one: so its aim has run since the first. Guards against
+	// spending quota and servers on answers that come too late to count; it would harm where
+	// clients draw their patience anew for each try, whatever their first.
+	left := q.DeadlineS - now
+	g.patience = max(g.patience, min(left/cls.DeadlineS, 1))
+	r.aimAt = now + cls.AimS + cls.AimStretch*cls.lat
+	if left < g.patience*cls.DeadlineS-lagS {
+		r.aimAt = min(r.aimAt, now+left-cls.DeadlineS+cls.AimS+cls.AimStretch*cls.lat)
+	}
+	r.aimAt = min(r.aimAt, q.DeadlineS)
 	price := 1.0
 	if r.plan != nil {
 		price = r.plan.Price
@@ -261,15 +272,17 @@
 		g.asked(r.cust, q.Units)
 		g.note(r.cust)
 	}
+	if r.aimAt < now+cls.lat {
+		price *= cls.LateWorth
+	}
 	r.prio = cls.Worth * price // units stand for work as well as for worth, and cancel out
 	g.reqs[q.ID] = r
 	g.live = append(g.live, r)
-	if !g.admit(r) {
+	if !g.mayRetry(r) || !g.admit(r) {
 		g.refuse(r)
 		return
 	}
 	g.place(r)
-	g.tidy(r)
 }
 
 // admit tells whether the request may be sent on now, by quota and ceiling.
