--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,34 +17,39 @@
 
 // Constants, with their reasons. Times are in seconds.
 const (
-	ringPoints  = 512   // points a gateway, as in the post
-	batchS      = 0.1   // least time between batches: "a few times a second"
-	intakeShare = 0.5   // of peerIntake that batches may fill, the rest is for bursts of delay
-	missBatches = 3     // batches without a reply before the owner counts as silent
-	peerSilentS = 0.9   // a peer unheard for so long leaves the ring
-	lagS        = 0.05  // added to the batch time: how old a verdict may be when it is used
-	demandTauS  = 1.5   // memory of what a customer asks for
-	memberS     = 3.0   // a member unheard of a customer for so long asks nothing of it
-	youngS      = 2.0   // a ledger younger than this believes the room that members hand back
-	forgetS     = 60.0  // customers unused for so long are forgotten
-	tickS       = 0.02  // how often queue and attempts are looked at
-	probeEveryS = 1.0   // load probes, where load reports come with probes alone
-	suspectS    = 0.5   // probes of servers in doubt
-	startLimit  = 12.0  // attempts out at one server, all gateways together, to begin with
-	maxLimit    = 64.0  // and at most
-	stretchHigh = 0.35  // answers that take this share of their aim shrink a server's limit
-	stretchLow  = 0.25  // and below this one it may grow
-	silentX     = 6.0   // a server that answers nothing for so many mean latencies is in doubt
-	calmShare   = 0.3   // of the limits: with less out than this, the back end is calm
-	hedgeShare  = 0.4   // of the aim: an attempt in doubt this old is tried elsewhere
-	downS       = 0.5   // a server that refuses connections is left alone so long, then probed
-	guardS      = 0.004 // margin on deadlines
+	ringPoints   = 512   // points a gateway, as in the post
+	batchS       = 0.1   // least time between batches: "a few times a second"
+	intakeShare  = 0.5   // of peerIntake that batches may fill, the rest is for bursts of delay
+	missBatches  = 3     // batches without a reply before the owner counts as silent
+	peerSilentS  = 0.9   // a peer unheard for so long leaves the ring
+	lagS         = 0.05  // added to the batch time: how old a verdict may be when it is used
+	demandTauS   = 1.5   // memory of what a customer asks for
+	memberS      = 3.0   // a member unheard of a customer for so long asks nothing of it
+	youngS       = 2.0   // a ledger younger than this believes the room that members hand back
+	forgetS      = 60.0  // customers unused for so long are forgotten
+	tickS        = 0.02  // how often queue and attempts are looked at
+	probeEveryS  = 1.0   // load probes, where load reports come with probes alone
+	suspectS     = 0.5   // probes of servers in doubt
+	startLimit   = 12.0  // attempts out at one server, all gateways together, to begin with
+	maxLimit     = 64.0  // and at most
+	stretchHigh  = 0.35  // answers that take this share of their aim shrink a server's limit
+	stretchLow   = 0.25  // and below this one it may grow
+	silentX      = 6.0   // a server that answers nothing for so many mean latencies is in doubt
+	patienceMin  = 10    // tries of a class before later ones are told from first ones
+	patienceBins = 101   // shares of the deadline told apart
+	calmShare    = 0.3   // of the limits: with less out than this, the back end is calm
+	hedgeShare   = 0.4   // of the aim: an attempt in doubt this old is tried elsewhere
+	downS        = 0.5   // a server that refuses connections is left alone so long, then probed
+	guardS       = 0.004 // margin on deadlines
 )
 
 type class struct {
 	Class
 	lat float64 // mean latency of good answers
 	n   int
+	// how often tries came with which share of the deadline, and the commonest
+	times [patienceBins]int
+	usual int
 }
 
 type plan struct {
@@ -168,7 +173,6 @@
 	queue    []*request
 	custs    map[uint32]*customer
 	peers    []peer
-	patience float64 // share of the deadline that clients give a try
 	warmRate float64 // work a second sent to each warm server
 	warmAt   float64
 	sweepAt  float64
@@ -254,14 +258,8 @@
 		return
 	}
 	r := &request{Request: q, cls: cls, plan: g.byPlan[q.Plan]}
-	// A try whose time is cut shorter than that of others is a client's later try, cut by
-	// what is left of its first one: so its aim has run since the first. Guards against
-	// spending quota and servers on answers that come too late to count; it would harm where
-	// clients draw their patience anew for each try, whatever their first.
-	left := q.DeadlineS - now
-	g.patience = max(g.patience, min(left/cls.DeadlineS, 1))
 	r.aimAt = now + cls.AimS + cls.AimStretch*cls.lat
-	if left < g.patience*cls.DeadlineS-lagS {
+	if left := q.DeadlineS - now; cls.laterTry(left) {
 		r.aimAt = min(r.aimAt, now+left-cls.DeadlineS+cls.AimS+cls.AimStretch*cls.lat)
 	}
 	r.aimAt = min(r.aimAt, q.DeadlineS)
@@ -285,6 +283,19 @@
 	g.place(r)
 }
 
+// laterTry tells a client's later try from a first one. First tries of a class all have
+// the same time, the commonest; a later one has what is left of its first try's deadline, so
+// its aim has run since then. Guards against spending quota and servers on answers that
+// come too late to count; it would harm where clients draw their patience for each try.
+func (c *class) laterTry(left float64) bool {
+	bin := int(min(max(left/c.DeadlineS, 0), 1)*(patienceBins-1) + 0.5)
+	c.times[bin]++
+	if c.times[bin] > c.times[c.usual] {
+		c.usual = bin
+	}
+	return c.times[c.usual] > patienceMin && max(bin-c.usual, c.usual-bin) > 1
+}
+
 // admit tells whether the request may be sent on now, by quota and ceiling.
 func (g *Gateway) admit(r *request) bool {
 	if r.cust == nil || len(r.attempts) > 0 {
