--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,8 +8,6 @@
 
 import (
 	"cmp"
-	"fmt"
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -43,159 +41,10 @@
 	guardS       = 0.004 // margin on deadlines
 )
 
-type class struct {
-	Class
-	lat float64 // mean latency of good answers
-	n   int
-	// how often tries came with which share of the deadline, and the commonest
-	times [patienceBins]int
-	usual int
-}
-
-type plan struct {
-	Plan
-	index    int
-	extra    bool    // beyond the quota earns more than it costs
-	windowS  float64 // burst over rate
-	parallel int
-}
-
-type server struct {
-	Server
-	listed           bool
-	inflight         int
-	limit            float64
-	stretch          float64 // mean of latency over aim
-	ratio            float64 // latency against the class's mean
-	errs             float64 // share of errors, recent
-	util             float64
-	utilAt           float64
-	heardAt, askedAt float64 // last answer, last probe
-	oldest           float64 // when the oldest attempt out was sent
-	doubt            bool    // silent while attempts are out
-	downUntil        float64
-	sentLog          []sentWork // while cold
-}
-
-type sentWork struct{ at, work float64 }
-
-type attempt struct {
-	srv    *server
-	sentAt float64
-	done   bool
-	called bool // cancelled by us
-}
-
-type request struct {
-	Request
-	cls      *class
-	plan     *plan
-	cust     *customer
-	aimAt    float64
-	attempts []attempt
-	out      int
-	ran      *server // first server where it may have run
-	ranAt    float64
-	over     bool
-	queued   bool
-	stream   bool
-	prio     float64
-}
-
-// customer is what a gateway keeps of one customer.
-type customer struct {
-	key            uint32
-	hash           uint64
-	plan           *plan
-	first, entries int
-	usedAt         float64
-	window         int64   // number of the window, by the clock
-	total, sent    float64 // own count in the window, and as last sent
-	acked          float64 // as the owner last took it in
-	demand         float64 // units a second asked for here
-	demandAt       float64
-	out, outSent   int
-	known          bool    // the owner has reported
-	room, roomAt   float64 // as last reported
-	others         float64 // what the others are asked for
-	othersOut      int
-	waitFrom       float64 // since when a report is unanswered, 0: none
-	reportAt       float64 // last report
-	dirty          bool
-	ceil, ceilAt   float64
-	pend           float64 // units of queued first sends, promised but not yet counted
-	led            *ledger
-}
-
-// ledger is an owner's count: the window opens evenly, and what is unused
-// carries over up to one burst.
-type ledger struct {
-	room, at, born float64
-	members        []member
-}
-
-type member struct {
-	window uint8
-	total  float64
-	rate   float64
-	out    int
-	at     float64 // last report, 0: none
-	due    bool    // a reply is due
-}
-
-type peer struct {
-	heardAt float64
-	boot    uint8
-	seq     uint16
-	reports []*customer
-	replies []*customer
-}
-
-// Gateway decides for one gateway.
-type Gateway struct {
-	s        Settings
-	act      Actions
-	rng      *rand.Rand
-	now      float64
-	born     float64
-	boot     uint8
-	seq      uint16
-	batch    float64
-	nextTell float64
-	ring     []ringPoint
-	classes  map[string]*class
-	plans    []*plan
-	byPlan   map[string]*plan
-	servers  map[string]*server
-	order    []*server
-	reqs     map[string]*request
-	live     []*request
-	queue    []*request
-	custs    map[uint32]*customer
-	peers    []peer
-	warmRate float64 // work a second sent to each warm server
-	warmAt   float64
-	sweepAt  float64
-}
-
-type ringPoint struct {
-	at uint64
-	gw int
-}
-
 // New returns the gateway's decisions at its start. The list of servers follows through Servers.
 func New(s Settings, seed uint64, now float64, act Actions) (*Gateway, error) {
-	switch {
-	case act == nil:
-		return nil, fmt.Errorf("no actions given")
-	case s.Gateways < 1 || s.Gateways > 1024:
-		return nil, fmt.Errorf("gateways is %d, want 1 to 1024", s.Gateways)
-	case s.Me < 0 || s.Me >= s.Gateways:
-		return nil, fmt.Errorf("me is %d, want 0 to %d", s.Me, s.Gateways-1)
-	case len(s.Classes) == 0:
-		return nil, fmt.Errorf("no classes given")
-	case len(s.Plans) > 16:
-		return nil, fmt.Errorf("%d plans given, 16 at most", len(s.Plans))
+	if err := check(s, act); err != nil {
+		return nil, err
 	}
 	g := &Gateway{s: s, act: act, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), now: now, born: now,
 		classes: map[string]*class{}, byPlan: map[string]*plan{}, servers: map[string]*server{},
@@ -206,15 +55,9 @@
 		g.batch = max(batchS, float64(s.Gateways-1)/(s.PeerIntake*intakeShare))
 	}
 	for _, c := range s.Classes {
-		if !(c.DeadlineS > 0) || !(c.AimS > 0) || c.Worth < 0 {
-			return nil, fmt.Errorf("class %q: aim and deadline must be above 0 and worth not below", c.Name)
-		}
 		g.classes[c.Name] = &class{Class: c, lat: 0.15 * c.AimS}
 	}
 	for i, p := range s.Plans {
-		if p.Rate < 0 || p.Rate > 0 && p.Burst <= 0 || p.Parallel < 0 || p.CeilingRate < 0 || p.Price < 0 {
-			return nil, fmt.Errorf("plan %q: rates must not be below 0, and a rate needs a burst", p.Name)
-		}
 		q := &plan{Plan: p, index: i, extra: p.ExtraWorth > p.ExcessCost}
 		if p.Rate > 0 {
 			q.windowS = p.Burst / p.Rate
@@ -236,14 +79,6 @@
 	return g, nil
 }
 
-// mix spreads the bits of x (the finaliser of splitmix64).
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // ---- The path of a request ----
 
 // Request takes a client's request.
@@ -252,8 +87,7 @@
 	cls := g.classes[q.Class]
 	if g.reqs[q.ID] != nil {
 		return
-	}
-	if cls == nil {
+	} else if cls == nil {
 		g.act.Fail(q.ID)
 		return
 	}
@@ -328,14 +162,12 @@
 func (g *Gateway) place(r *request) {
 	if !g.mayRetry(r) {
 		g.refuse(r) // a client's late try can arrive with no time left at all
-		return
-	}
-	if s := g.choose(r); s != nil {
+	} else if s := g.choose(r); s != nil {
 		g.send(r, s)
-		return
+	} else {
+		g.hold(r, true)
+		g.queue = append(g.queue, r)
 	}
-	g.hold(r, true)
-	g.queue = append(g.queue, r)
 }
 
 // hold keeps the units of a queued first send apart, so that a queue can't
@@ -359,17 +191,9 @@
 	if r.cls.LateWorth == 0 {
 		until = r.aimAt
 	}
-	if s.inflight == 0 {
-		s.oldest = g.now
-	}
 	s.inflight++
 	r.out++
-	if r.cust != nil {
-		r.cust.out++
-		if r.plan.Parallel > 0 {
-			g.note(r.cust)
-		}
-	}
+	g.outBy(r, 1)
 	r.attempts = append(r.attempts, attempt{srv: s, sentAt: g.now})
 	if g.coldShare(s) < 1 {
 		s.sentLog = append(s.sentLog, sentWork{g.now, r.cls.lat})
@@ -379,6 +203,16 @@
 	g.act.Send(r.ID, s.ID, max(until-g.now, guardS))
 }
 
+// outBy counts the customer's attempts out, which a parallel plan's owner hears of.
+func (g *Gateway) outBy(r *request, n int) {
+	if r.cust == nil {
+		return
+	}
+	if r.cust.out += n; r.plan.Parallel > 0 {
+		g.note(r.cust)
+	}
+}
+
 // refuse ends the request with the mildest answer that is true.
 func (g *Gateway) refuse(r *request) {
 	if r.over {
@@ -421,19 +255,11 @@
 	r.out--
 	s := a.srv
 	s.inflight--
-	if r.cust != nil {
-		r.cust.out--
-		if r.plan.Parallel > 0 {
-			g.note(r.cust)
-		}
-	}
+	g.outBy(r, -1)
 	g.report(s, o.Load)
 	g.learn(r, a, o)
-	switch o.Status {
-	case Error, Timeout, Reset, Cancelled, OK:
-		if r.ran == nil {
-			r.ran, r.ranAt = s, a.sentAt
-		}
+	if never := o.Status == Full || o.Status == ConnectFailed || o.Status == Moot; !never && r.ran == nil {
+		r.ran, r.ranAt = s, a.sentAt
 	}
 	if o.Status == OK && g.s.TrueUp && r.cust != nil && o.Units > 0 {
 		g.charge(r.cust, o.Units-r.Units)
@@ -458,10 +284,7 @@
 	if len(r.attempts) >= max(1, g.s.MaxAttempts) || g.now+r.cls.lat > end {
 		return false
 	}
-	if r.ran != nil && r.cls.Effect == Unsafe {
-		return false
-	}
-	return !(r.ran != nil && r.cls.Effect == Keyed && g.now > r.ranAt+r.cls.KeyTTLS-lagS)
+	return r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-lagS
 }
 
 // Started takes the start of a streamed answer: the attempt belongs to the client now.
@@ -536,12 +359,6 @@
 
 // ---- Quotas and the exchange with owners ----
 
-func hashOf(customer string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(customer))
-	return mix(h.Sum64())
-}
-
 // customer finds or makes what is kept of a customer.
 func (g *Gateway) customer(q Request) *customer {
 	h := hashOf(q.Customer)
@@ -605,14 +422,10 @@
 // inQuota is the verdict on the ordinary path.
 func (g *Gateway) inQuota(c *customer, units float64) bool {
 	room, others, othersOut, whole := g.view(c)
-	if p := c.plan; p.Parallel > 0 && c.out+othersOut >= p.Parallel {
+	if c.plan.Parallel > 0 && c.out+othersOut >= c.plan.Parallel {
 		return false
-	}
-	if c.plan.Rate == 0 {
-		return true
-	}
-	if whole {
-		return units <= room
+	} else if c.plan.Rate == 0 || whole {
+		return c.plan.Rate == 0 || units <= room
 	}
 	mine := g.demandNow(c)
 	split := room * mine / max(mine+others, 1e-9)
@@ -625,12 +438,7 @@
 	p := c.plan
 	if g.owner(c) == g.s.Me {
 		l := g.ledger(c)
-		for i := range l.members {
-			if m := &l.members[i]; m.at > 0 && g.now-m.at < memberS && g.alive(i) {
-				others += m.rate * math.Exp((m.at-g.now)/demandTauS)
-				out += m.out
-			}
-		}
+		others, out = g.askedElsewhere(l, g.s.Me)
 		return l.room, others, out, false
 	}
 	if c.led != nil {
@@ -644,6 +452,17 @@
 	return room, c.others, c.othersOut, silent
 }
 
+// askedElsewhere sums what the members other than one are asked for and have out.
+func (g *Gateway) askedElsewhere(l *ledger, but int) (rate float64, out int) {
+	for i := range l.members {
+		if m := &l.members[i]; i != but && m.at > 0 && g.now-m.at < memberS && g.alive(i) {
+			rate += m.rate * math.Exp((m.at-g.now)/demandTauS)
+			out += m.out
+		}
+	}
+	return rate, out
+}
+
 // ledger brings the owner's count up to now.
 func (g *Gateway) ledger(c *customer) *ledger {
 	if c.led == nil {
@@ -743,15 +562,9 @@
 			m := &c.led.members[i]
 			m.due = false
 			l := g.ledger(c)
-			others, out := g.demandNow(c), c.out
-			for j := range l.members {
-				if o := &l.members[j]; j != i && o.at > 0 && g.now-o.at < memberS {
-					others += o.rate * math.Exp((o.at-g.now)/demandTauS)
-					out += o.out
-				}
-			}
+			others, out := g.askedElsewhere(l, i)
 			b = appendRecord(b, record{Key: c.key, Plan: c.plan.index, Owner: true, Known: true, Window: m.window,
-				Total: m.total, Room: l.room, Rate: others, Out: uint8(min(out, 255))})
+				Total: m.total, Room: l.room, Rate: others + g.demandNow(c), Out: uint8(min(out+c.out, 255))})
 			n++
 		}
 		p.replies = rest
@@ -948,16 +761,6 @@
 	return best
 }
 
-func sameGroup(scope Scope, a, b *server) bool {
-	switch scope {
-	case ScopeZone:
-		return a.Zone == b.Zone
-	case ScopeCell:
-		return a.Zone == b.Zone && a.Cell == b.Cell
-	}
-	return true
-}
-
 // learn takes from an attempt's end what it tells of the server.
 func (g *Gateway) learn(r *request, a *attempt, o Outcome) {
 	s, c := a.srv, r.cls
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,470 @@
+package policy
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// out is one action as the tests see it.
+type out struct {
+	kind, id, server string
+	to, attempt      int
+	x                float64
+	data             []byte
+}
+
+// recorder keeps the actions of one gateway.
+type recorder struct{ acts []out }
+
+func (r *recorder) Send(id, s string, t float64) {
+	r.acts = append(r.acts, out{kind: "send", id: id, server: s, x: t})
+}
+func (r *recorder) Refuse(id string, x float64) {
+	r.acts = append(r.acts, out{kind: "refuse", id: id, x: x})
+}
+func (r *recorder) Fail(id string) { r.acts = append(r.acts, out{kind: "fail", id: id}) }
+func (r *recorder) Cancel(id string, n int) {
+	r.acts = append(r.acts, out{kind: "cancel", id: id, attempt: n})
+}
+func (r *recorder) SetTimer(uint64, float64) {}
+func (r *recorder) Probe(s string)           { r.acts = append(r.acts, out{kind: "probe", server: s}) }
+func (r *recorder) Tell(to int, b []byte) {
+	r.acts = append(r.acts, out{kind: "tell", to: to, data: append([]byte(nil), b...)})
+}
+func (r *recorder) Log(string) {}
+
+// of returns the actions of a kind for a request ("" for all) and count how many.
+func (r *recorder) of(kind, id string) (list []out) {
+	for _, a := range r.acts {
+		if a.kind == kind && (id == "" || a.id == id) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func testSettings() Settings {
+	return Settings{
+		Me: 0, Gateways: 2, Zone: "a", MaxUnits: 4, PeerIntake: 40, Peers: true, Cancel: true, Parallel: true,
+		MaxAttempts: 3, MaxRetryAfterS: 0.5, AnswerSlackS: 0.01,
+		ColdFrom: 0.2, ColdS: 10, FallMultiple: 3, FallS: 1, TickS: 0.002,
+		Classes: []Class{
+			{Name: "read", AimS: 1, DeadlineS: 2, Worth: 1, Effect: Safe},
+			{Name: "put", AimS: 1, DeadlineS: 4, Worth: 3, Effect: Keyed, KeyScope: ScopeZone, KeyTTLS: 2},
+			{Name: "cell", AimS: 1, DeadlineS: 4, Worth: 3, Effect: Keyed, KeyScope: ScopeCell, KeyTTLS: 2},
+			{Name: "any", AimS: 3, DeadlineS: 4, Worth: 3, Effect: Keyed, KeyScope: ScopeAll, KeyTTLS: 0.5},
+			{Name: "pay", AimS: 1, DeadlineS: 4, Worth: 5, Effect: Unsafe},
+		},
+		Plans: []Plan{
+			{Name: "basic", Rate: 2, Burst: 8, Price: 1, ExcessCost: 1},
+			{Name: "capped", Rate: 10, Burst: 20, Price: 1, ExcessCost: 1, CeilingRate: 20, CeilingBurst: 40, CeilingSlack: 4},
+			{Name: "open", Parallel: 2, Price: 1, ExcessCost: 1},
+			{Name: "wide", Rate: 1000, Burst: 4000, Price: 1},
+		},
+	}
+}
+
+func gateway(t *testing.T, change func(*Settings)) (*Gateway, *recorder) {
+	t.Helper()
+	s, r := testSettings(), &recorder{}
+	if change != nil {
+		change(&s)
+	}
+	g, err := New(s, 7, 100, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Servers(100, []Server{{ID: "s1", Zone: "a", Cell: 1}, {ID: "s2", Zone: "a", Cell: 2}, {ID: "s3", Zone: "b", Cell: 3}}, true)
+	return g, r
+}
+
+func alone(s *Settings) { s.Gateways = 1 }
+
+func ask(g *Gateway, now float64, id, class, plan string, units float64) {
+	d := 2.0
+	if class != "read" {
+		d = 4
+	}
+	g.Request(now, Request{ID: id, Class: class, Plan: plan, Customer: "c-" + plan, DeadlineS: now + d,
+		First: 0, Entries: g.s.Gateways, Units: units})
+}
+
+func TestQuotaIsHeldAndRefills(t *testing.T) {
+	g, r := gateway(t, alone)
+	for i := range 12 {
+		ask(g, 100, fmt.Sprint("q", i), "read", "basic", 1)
+	}
+	if n := len(r.of("send", "")); n != 8 {
+		t.Fatalf("%d sent of a burst of 8", n)
+	}
+	ask(g, 101, "later", "read", "basic", 2)
+	if len(r.of("send", "later")) != 1 {
+		t.Fatal("the window did not open with time")
+	}
+}
+
+// Guards round 2: a queue promised the same room to every request in it.
+func TestQueuedRequestsHoldTheirUnits(t *testing.T) {
+	g, r := gateway(t, alone)
+	g.Servers(100, []Server{{ID: "s1", Zone: "a", State: Draining}}, true)
+	for i := range 12 {
+		ask(g, 100, fmt.Sprint("q", i), "read", "basic", 1)
+	}
+	if n := len(r.of("refuse", "")); n != 4 {
+		t.Fatalf("%d refused while 12 units wait for a burst of 8, want 4", n)
+	}
+}
+
+func TestParallelPlanIsHeld(t *testing.T) {
+	g, r := gateway(t, alone)
+	for i := range 3 {
+		ask(g, 100, fmt.Sprint("q", i), "read", "open", 1)
+	}
+	if n := len(r.of("send", "")); n != 2 {
+		t.Fatalf("%d attempts out, want 2", n)
+	}
+	g.Outcome(100.1, Outcome{ID: "q0", Server: "s1", Status: OK, Over: true, SpentS: 0.1})
+	ask(g, 100.1, "q3", "read", "open", 1)
+	if len(r.of("send", "q3")) != 1 {
+		t.Fatal("an ended attempt did not make room")
+	}
+}
+
+// A restarted gateway may just have spent its split of the ceiling.
+func TestCeilingSplitStartsEmpty(t *testing.T) {
+	g, r := gateway(t, nil)
+	sent := func() (n int) { return len(r.of("send", "")) }
+	ask(g, 100, "first", "read", "capped", 4)
+	if sent() != 0 {
+		t.Fatal("units passed with an empty split")
+	}
+	for i := range 400 {
+		ask(g, 101+float64(i)*0.005, fmt.Sprint("q", i), "read", "capped", 1)
+	}
+	if most := int(20.0 / 2 * 3); sent() == 0 || sent() > most {
+		t.Fatalf("%d units sent on in 3 s, want some and no more than %d", sent(), most)
+	}
+}
+
+func TestUnsafeAfterEachOutcome(t *testing.T) {
+	for _, c := range []struct {
+		status Status
+		want   string
+	}{{Full, "send"}, {ConnectFailed, "send"}, {Moot, "send"}, {Error, "fail"}, {Timeout, "fail"}, {Reset, "fail"}, {Cancelled, "fail"}} {
+		g, r := gateway(t, alone)
+		ask(g, 100, "p", "pay", "wide", 1)
+		first := r.of("send", "p")[0]
+		r.acts = nil
+		g.Outcome(100.2, Outcome{ID: "p", Server: first.server, Status: c.status, SpentS: 0.2})
+		if len(r.of(c.want, "p")) != 1 || len(r.of("send", "p"))+len(r.of("fail", "p"))+len(r.of("refuse", "p")) != 1 {
+			t.Errorf("status %d: want one %s, got %v", c.status, c.want, r.acts)
+		}
+	}
+}
+
+func TestKeyedResendsStayInGroupAndTime(t *testing.T) {
+	zone := map[string]string{"s1": "a", "s2": "a", "s3": "b"}
+	for seed := range 20 {
+		g, r := gateway(t, alone)
+		id := fmt.Sprint("k", seed)
+		ask(g, 100, id, "put", "wide", 1)
+		first := r.of("send", id)[0].server
+		r.acts = nil
+		g.Outcome(100.2, Outcome{ID: id, Server: first, Status: Reset, SpentS: 0.2})
+		for _, a := range r.of("send", id) {
+			if zone[a.server] != zone[first] {
+				t.Fatalf("resent from %s to %s, another zone", first, a.server)
+			}
+		}
+	}
+	g, r := gateway(t, alone)
+	ask(g, 100, "c", "cell", "wide", 1)
+	first := r.of("send", "c")[0].server
+	g.Outcome(100.2, Outcome{ID: "c", Server: first, Status: Error, SpentS: 0.2})
+	for _, a := range r.of("send", "c") {
+		if a.server != first {
+			t.Fatalf("resent to %s, another cell", a.server)
+		}
+	}
+	g, r = gateway(t, alone)
+	ask(g, 100, "t", "any", "wide", 1)
+	first = r.of("send", "t")[0].server
+	g.Outcome(100.6, Outcome{ID: "t", Server: first, Status: Error, SpentS: 0.6})
+	if len(r.of("send", "t")) != 1 || len(r.of("refuse", "t")) != 1 {
+		t.Fatalf("past the key's time: want a refusal and no resend, got %v", r.acts)
+	}
+}
+
+func TestAnswerIsOwedAfterTimeoutAtDeadline(t *testing.T) {
+	for class, want := range map[string]string{"read": "refuse", "put": "fail", "any": "refuse", "pay": "fail"} {
+		g, r := gateway(t, alone)
+		ask(g, 100, "d", class, "wide", 1)
+		first := r.of("send", "d")[0].server
+		r.acts = nil
+		g.Outcome(104, Outcome{ID: "d", Server: first, Status: Timeout, SpentS: 4})
+		if len(r.of(want, "d")) != 1 || len(r.of("send", "d")) != 0 {
+			t.Errorf("%s: want one %s in the same batch, got %v", class, want, r.acts)
+		}
+	}
+}
+
+// Guards round 1: a client's late try with 5 ms left waited past its deadline.
+func TestTryWithNoTimeLeftIsRefusedAtOnce(t *testing.T) {
+	g, r := gateway(t, alone)
+	g.Servers(100, []Server{{ID: "s1", Zone: "a", State: Draining}}, true)
+	g.Request(100, Request{ID: "x", Class: "read", Plan: "basic", Customer: "c", DeadlineS: 100.005, Entries: 1, Units: 1})
+	if len(r.of("refuse", "x")) != 1 {
+		t.Fatal("no answer in the batch of its arrival")
+	}
+}
+
+func TestQueuedRequestIsAnsweredBeforeItsDeadline(t *testing.T) {
+	g, r := gateway(t, alone)
+	g.Servers(100, nil, true)
+	ask(g, 100, "w", "read", "basic", 1)
+	for now := 100.0; now < 102; now += 0.02 {
+		g.Timer(now, 1)
+	}
+	if len(r.of("refuse", "w"))+len(r.of("fail", "w")) != 1 {
+		t.Fatalf("want one answer, got %v", r.acts)
+	}
+}
+
+func TestDrainNoticeHoldsForQueuedRequests(t *testing.T) {
+	g, r := gateway(t, alone)
+	for i := range 200 {
+		ask(g, 100, fmt.Sprint("q", i), "read", "wide", 1)
+	}
+	if len(g.queue) == 0 {
+		t.Fatal("nothing waits, the test shows nothing")
+	}
+	g.Servers(100.1, []Server{{ID: "s1", Zone: "a", Cell: 1, State: Draining}, {ID: "s2", State: Removed}}, false)
+	before := len(r.acts)
+	for i := range 200 {
+		id := fmt.Sprint("q", i)
+		for n, a := range r.of("send", id) {
+			g.Outcome(100.2, Outcome{ID: id, Server: a.server, Attempt: n, Status: OK, Over: true, SpentS: 0.1})
+		}
+	}
+	later := 0
+	for _, a := range r.acts[before:] {
+		if a.kind == "send" {
+			later++
+			if a.server != "s3" {
+				t.Fatalf("sent to %s after its drain notice", a.server)
+			}
+		}
+	}
+	if later == 0 {
+		t.Fatal("nothing was sent after the notice, the test shows nothing")
+	}
+}
+
+func TestColdServerKeepsToItsShareOverAnyWindow(t *testing.T) {
+	g, r := gateway(t, alone)
+	at := func(id string) string { s := r.of("send", id); return s[len(s)-1].server }
+	step := func(i int, now float64) string {
+		id := fmt.Sprint("q", i)
+		ask(g, now, id, "read", "wide", 1)
+		s := at(id)
+		g.Outcome(now+0.01, Outcome{ID: id, Server: s, Status: OK, Over: true, SpentS: 0.1})
+		g.Timer(now+0.01, 1)
+		return s
+	}
+	for i := range 300 {
+		step(i, 100+float64(i)*0.02)
+	}
+	g.Servers(106, []Server{{ID: "s1", Zone: "a", Cell: 1, SinceS: 105.9}}, false)
+	cold, warm := 0, 0
+	for i := range 50 {
+		if step(1000+i, 106+float64(i)*0.02) == "s1" {
+			cold++
+		} else {
+			warm++
+		}
+	}
+	if cold > warm/2 {
+		t.Fatalf("a cold server got %d sends, two warm ones %d", cold, warm)
+	}
+}
+
+// pair joins two gateways by a perfect wire.
+func pair(t *testing.T) (g [2]*Gateway, r [2]*recorder, pump func(now float64)) {
+	for i := range 2 {
+		g[i], r[i] = gateway(t, func(s *Settings) { s.Me = i })
+	}
+	seen := [2]int{}
+	return g, r, func(now float64) {
+		for i := range 2 {
+			g[i].Timer(now, 1)
+		}
+		for i := range 2 {
+			for ; seen[i] < len(r[i].acts); seen[i]++ {
+				if a := r[i].acts[seen[i]]; a.kind == "tell" {
+					g[1-i].Peer(now, i, a.data)
+				}
+			}
+		}
+	}
+}
+
+func TestOneCountSeesAllTrafficOfACustomer(t *testing.T) {
+	g, r, pump := pair(t)
+	units := 0
+	for i := range 500 {
+		now := 100 + float64(i)*0.02
+		ask(g[i%2], now, fmt.Sprint("q", i), "read", "basic", 1)
+		for k := range 2 {
+			id := fmt.Sprint("q", i)
+			for _, a := range r[k].of("send", id) {
+				units++
+				g[k].Outcome(now, Outcome{ID: id, Server: a.server, Status: OK, Over: true, SpentS: 0.05})
+			}
+		}
+		pump(now)
+	}
+	// 10 s of 2 a second and a burst of 8.
+	if units < 22 || units > 31 {
+		t.Fatalf("%d units sent on, the quota holds 28", units)
+	}
+}
+
+// Guards round 1: the newest report of a busy customer is always unacknowledged.
+func TestBusyOwnerIsNotHeldSilent(t *testing.T) {
+	g, _, pump := pair(t)
+	m := 0
+	if g[0].owner(g[0].customer(Request{Customer: "c-wide", Plan: "wide", Entries: 2})) == 0 {
+		m = 1
+	}
+	for i := range 200 {
+		now := 100 + float64(i)*0.02
+		ask(g[m], now, fmt.Sprint("q", i), "read", "wide", 1)
+		pump(now)
+	}
+	if _, _, _, alone := g[m].view(g[m].custs[uint32(hashOf("c-wide"))&keyMask]); alone {
+		t.Fatal("the member fell back to a local window while its owner replies")
+	}
+}
+
+func TestRestartedOwnerIsRefilledByTheNextBatch(t *testing.T) {
+	g, r, pump := pair(t)
+	own := g[0].owner(g[0].customer(Request{Customer: "c-basic", Plan: "basic", Entries: 2}))
+	m := 1 - own
+	for i := range 100 {
+		now := 100 + float64(i)*0.02
+		ask(g[m], now, fmt.Sprint("q", i), "read", "basic", 1)
+		pump(now)
+	}
+	s := testSettings()
+	s.Me = own
+	fresh, err := New(s, 99, 102, r[own])
+	if err != nil {
+		t.Fatal(err)
+	}
+	g[own] = fresh
+	member, owner := r[m], g[own]
+	ask(g[m], 102.02, "after", "read", "basic", 1)
+	n := len(member.acts)
+	for now := 102.02; now < 102.3; now += 0.02 {
+		g[m].Timer(now, 1)
+	}
+	for _, a := range member.acts[n:] {
+		if a.kind == "tell" {
+			owner.Peer(102.3, m, a.data)
+		}
+	}
+	c := owner.custs[uint32(hashOf("c-basic"))&keyMask]
+	if c == nil || owner.ledger(c).room > 4 {
+		t.Fatal("the restarted owner grants a fresh window")
+	}
+}
+
+func TestSilentOwnerLeavesTheRing(t *testing.T) {
+	g, _ := gateway(t, nil)
+	var c *customer
+	for i := 0; c == nil || g.owner(c) != 1; i++ {
+		c = g.customer(Request{Customer: fmt.Sprint("k", i), Plan: "basic", Entries: 2})
+	}
+	g.now = 100 + peerSilentS + 0.01
+	if g.owner(c) != 0 {
+		t.Fatal("a silent owner still owns")
+	}
+}
+
+// Guards rounds 4 and 5: later tries were served after their aim.
+func TestLaterTriesAreToldFromFirstOnes(t *testing.T) {
+	g, r := gateway(t, alone)
+	for i := range 40 {
+		id := fmt.Sprint("q", i)
+		ask(g, 100+float64(i), id, "read", "basic", 1)
+		g.Outcome(100+float64(i), Outcome{ID: id, Server: r.of("send", id)[0].server, Status: OK, Over: true, SpentS: 0.1})
+	}
+	g.Request(150, Request{ID: "late", Class: "read", Plan: "basic", Customer: "x", DeadlineS: 150.8, Entries: 1, Units: 1})
+	if len(r.of("send", "late")) != 0 || len(r.of("refuse", "late")) != 1 {
+		t.Fatal("a try past its aim was sent on")
+	}
+	g.Request(150, Request{ID: "soon", Class: "read", Plan: "basic", Customer: "x", DeadlineS: 151.7, Entries: 1, Units: 1})
+	if len(r.of("send", "soon")) != 1 {
+		t.Fatal("a try that can still make its aim was refused")
+	}
+}
+
+func TestOddInputIsIgnored(t *testing.T) {
+	g, r := gateway(t, nil)
+	n := len(r.acts)
+	good := appendRecord(appendHeader(nil, 1, 1), record{Key: 5, Plan: 15})
+	for i := range good {
+		g.Peer(100, 1, good[:i])
+	}
+	g.Peer(100, 9, good)
+	g.Peer(100, -1, good)
+	g.Peer(100, 1, append([]byte{msgVersion + 1}, good[1:]...))
+	g.Peer(100, 1, good)
+	g.Peer(100, 1, make([]byte, 4000))
+	g.Outcome(100, Outcome{ID: "none", Server: "s1"})
+	g.Gone(100, "none")
+	g.Started(100, "none", 0)
+	g.Probed(100, ProbeResult{Server: "none"})
+	g.Timer(100, 77)
+	if len(r.acts) != n {
+		t.Fatalf("acted on odd input: %v", r.acts[n:])
+	}
+}
+
+func TestInvalidSettings(t *testing.T) {
+	for want, change := range map[string]func(*Settings){
+		"gateways": func(s *Settings) { s.Gateways = 0 },
+		"me is":    func(s *Settings) { s.Me = 2 },
+		"classes":  func(s *Settings) { s.Classes = nil },
+		"deadline": func(s *Settings) { s.Classes[0].DeadlineS = 0 },
+		"burst":    func(s *Settings) { s.Plans[0].Burst = 0 },
+	} {
+		s := testSettings()
+		change(&s)
+		if _, err := New(s, 1, 0, &recorder{}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("want an error about %q, got %v", want, err)
+		}
+	}
+}
+
+func TestSameEventsGiveTheSameActions(t *testing.T) {
+	var logs [2]string
+	for k := range logs {
+		g, r := gateway(t, nil)
+		for i := range 300 {
+			now := 100 + float64(i)*0.01
+			id := fmt.Sprint("q", i)
+			g.Request(now, Request{ID: id, Class: "read", Plan: "wide", Customer: fmt.Sprint("c", i%37), DeadlineS: now + 2,
+				Entries: 2, Units: 1})
+			for n, a := range r.of("send", id) {
+				g.Outcome(now, Outcome{ID: id, Server: a.server, Attempt: n, Status: Status(i % 4), SpentS: 0.05})
+			}
+			g.Timer(now, 1)
+		}
+		logs[k] = fmt.Sprint(r.acts)
+	}
+	if logs[0] != logs[1] {
+		t.Fatal("the same events gave other actions")
+	}
+}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,200 @@
+package policy
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+)
+
+// What a gateway keeps, and plain helpers. What is done with it is in policy.go.
+
+type class struct {
+	Class
+	lat float64 // mean latency of good answers
+	n   int
+	// how often tries came with which share of the deadline, and the commonest
+	times [patienceBins]int
+	usual int
+}
+
+type plan struct {
+	Plan
+	index   int
+	extra   bool    // beyond the quota earns more than it costs
+	windowS float64 // burst over rate
+}
+
+type server struct {
+	Server
+	listed           bool
+	inflight         int
+	limit            float64
+	stretch          float64 // mean of latency over aim
+	ratio            float64 // latency against the class's mean
+	errs             float64 // share of errors, recent
+	util             float64
+	utilAt           float64
+	heardAt, askedAt float64 // last answer, last probe
+	doubt            bool    // silent while attempts are out
+	downUntil        float64
+	sentLog          []sentWork // while cold
+}
+
+type sentWork struct{ at, work float64 }
+
+type attempt struct {
+	srv    *server
+	sentAt float64
+	done   bool
+	called bool // cancelled by us
+}
+
+type request struct {
+	Request
+	cls      *class
+	plan     *plan
+	cust     *customer
+	aimAt    float64
+	attempts []attempt
+	out      int
+	ran      *server // first server where it may have run
+	ranAt    float64
+	over     bool
+	queued   bool
+	stream   bool
+	prio     float64
+}
+
+// customer is what a gateway keeps of one customer.
+type customer struct {
+	key            uint32
+	hash           uint64
+	plan           *plan
+	first, entries int
+	usedAt         float64
+	window         int64   // number of the window, by the clock
+	total, sent    float64 // own count in the window, and as last sent
+	acked          float64 // as the owner last took it in
+	demand         float64 // units a second asked for here
+	demandAt       float64
+	out            int
+	known          bool    // the owner has reported
+	room, roomAt   float64 // as last reported
+	others         float64 // what the others are asked for
+	othersOut      int
+	waitFrom       float64 // since when a report is unanswered, 0: none
+	reportAt       float64 // last report
+	dirty          bool
+	ceil, ceilAt   float64
+	pend           float64 // units of queued first sends, promised but not yet counted
+	led            *ledger
+}
+
+// ledger is an owner's count: the window opens evenly, and what is unused
+// carries over up to one burst.
+type ledger struct {
+	room, at, born float64
+	members        []member
+}
+
+type member struct {
+	window uint8
+	total  float64
+	rate   float64
+	out    int
+	at     float64 // last report, 0: none
+	due    bool    // a reply is due
+}
+
+type peer struct {
+	heardAt float64
+	boot    uint8
+	seq     uint16
+	reports []*customer
+	replies []*customer
+}
+
+// Gateway decides for one gateway.
+type Gateway struct {
+	s        Settings
+	act      Actions
+	rng      *rand.Rand
+	now      float64
+	born     float64
+	boot     uint8
+	seq      uint16
+	batch    float64
+	nextTell float64
+	ring     []ringPoint
+	classes  map[string]*class
+	plans    []*plan
+	byPlan   map[string]*plan
+	servers  map[string]*server
+	order    []*server
+	reqs     map[string]*request
+	live     []*request
+	queue    []*request
+	custs    map[uint32]*customer
+	peers    []peer
+	warmRate float64 // work a second sent to each warm server
+	warmAt   float64
+	sweepAt  float64
+}
+
+type ringPoint struct {
+	at uint64
+	gw int
+}
+
+// mix spreads the bits of x (the finaliser of splitmix64).
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// hashOf is a customer's point on the ring.
+func hashOf(customer string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(customer))
+	return mix(h.Sum64())
+}
+
+// sameGroup tells whether two servers drop the repeats of the same key.
+func sameGroup(scope Scope, a, b *server) bool {
+	switch scope {
+	case ScopeZone:
+		return a.Zone == b.Zone
+	case ScopeCell:
+		return a.Zone == b.Zone && a.Cell == b.Cell
+	}
+	return true
+}
+
+// check tells what is wrong with the settings.
+func check(s Settings, act Actions) error {
+	switch {
+	case act == nil:
+		return fmt.Errorf("no actions given")
+	case s.Gateways < 1 || s.Gateways > 1024:
+		return fmt.Errorf("gateways is %d, want 1 to 1024", s.Gateways)
+	case s.Me < 0 || s.Me >= s.Gateways:
+		return fmt.Errorf("me is %d, want 0 to %d", s.Me, s.Gateways-1)
+	case len(s.Classes) == 0:
+		return fmt.Errorf("no classes given")
+	case len(s.Plans) > 16:
+		return fmt.Errorf("%d plans given, 16 at most", len(s.Plans))
+	}
+	for _, c := range s.Classes {
+		if !(c.DeadlineS > 0) || !(c.AimS > 0) || c.Worth < 0 {
+			return fmt.Errorf("class %q: aim and deadline must be above 0 and worth not below", c.Name)
+		}
+	}
+	for _, p := range s.Plans {
+		if p.Rate < 0 || p.Rate > 0 && p.Burst <= 0 || p.Parallel < 0 || p.CeilingRate < 0 || p.Price < 0 {
+			return fmt.Errorf("plan %q: rates must not be below 0, and a rate needs a burst", p.Name)
+		}
+	}
+	return nil
+}
