--- a/test.sh
+++ b/test.sh
@@ -12,7 +12,7 @@
 for f in $(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr -d '",'); do
   lines=$(grep -c '[^[:space:]]' "$f")
   [ "$lines" -le 850 ] || { echo "$f holds $lines lines, 850 at most"; exit 1; }
-  long=$(expand -t 4 "$f" | awk 'length($0) > 110 { print NR }')
+  long=$(awk '{ gsub(/\t/, " ") } length($0) > 110 { print NR }' "$f")
   [ -z "$long" ] || { echo "$f: over 110 characters in lines" $long; exit 1; }
   echo "$f: $lines non-blank lines"
 done
