--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,6 +32,11 @@
 	maxLimit     = 64.0  // and at most
 	stretchHigh  = 0.35  // answers that take this share of their aim shrink a server's limit
 	stretchLow   = 0.25  // and below this one it may grow
+	minLimit     = 0.4   // below 1: one out at a time, with pauses
+	utilHigh     = 0.93  // cores busier than this, with
+	slowX        = 2.2   // answers so many times slower than when calm: driven too hard
+	cutEveryS    = 0.3   // least time between two cuts of a limit for that
+	baseDrift    = 0.001 // an answer: how fast the calm latency follows a lasting change
 	silentX      = 6.0   // a server that answers nothing for so many mean latencies is in doubt
 	patienceMin  = 10    // tries of a class before later ones are told from first ones
 	patienceBins = 101   // shares of the deadline told apart
@@ -192,6 +197,7 @@
 		until = r.aimAt
 	}
 	s.inflight++
+	s.sentAt = g.now
 	r.out++
 	g.outBy(r, 1)
 	r.attempts = append(r.attempts, attempt{srv: s, sentAt: g.now})
@@ -732,7 +738,8 @@
 	var best *server
 	low := math.Inf(1)
 	for _, s := range g.order {
-		if s.State != Up || g.now < s.downUntil || s.doubt || float64(s.inflight) >= math.Ceil(s.limit) {
+		if s.State != Up || g.now < s.downUntil || s.doubt || float64(s.inflight) >= math.Ceil(s.limit) ||
+			s.limit < 1 && g.now-s.sentAt < s.ratio*r.cls.lat/s.limit {
 			continue
 		}
 		if r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) {
@@ -771,6 +778,10 @@
 		s.doubt = false
 		c.n++
 		c.lat += (o.SpentS - c.lat) * max(0.02, 1/float64(c.n+1))
+		if c.base = min(c.base*(1+baseDrift), c.lat); c.n < 10 {
+			c.base = c.lat
+		}
+		s.slow += 0.1 * (min(o.SpentS/c.base, 10) - s.slow)
 		s.ratio += 0.05 * (min(o.SpentS/c.lat, 4) - s.ratio)
 		s.ratio = min(max(s.ratio, 0.3), 4)
 	case Error:
@@ -786,8 +797,8 @@
 	if o.Status == OK || o.Status == Timeout {
 		s.stretch += 0.1 * (o.SpentS/c.AimS - s.stretch)
 		if s.stretch > stretchHigh {
-			s.limit = max(1, s.limit*0.97)
-		} else if s.stretch < stretchLow && float64(s.inflight)+1.5 >= s.limit {
+			s.limit = max(minLimit, s.limit*0.97)
+		} else if s.stretch < stretchLow && s.slow < slowX && float64(s.inflight)+1.5 >= s.limit {
 			s.limit = min(maxLimit, s.limit+0.1)
 		}
 	}
@@ -796,6 +807,12 @@
 // report takes in a load report.
 func (g *Gateway) report(s *server, l *Load) {
 	if l != nil && l.Util >= 0 {
+		// Guards against driving servers harder than they bear: cores all busy and answers far
+		// slower than when calm. Covers thrash, throttling and a shared brake alike; costs some
+		// throughput where full cores do no harm.
+		if l.Util > utilHigh && s.slow > slowX && g.now-s.cutAt > cutEveryS {
+			s.limit, s.cutAt = max(minLimit, min(s.limit, float64(s.inflight)+1)*0.9), g.now
+		}
 		s.util, s.utilAt = l.Util, g.now
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -10,8 +10,9 @@
 
 type class struct {
 	Class
-	lat float64 // mean latency of good answers
-	n   int
+	lat  float64 // mean latency of good answers
+	base float64 // the same when calm
+	n    int
 	// how often tries came with which share of the deadline, and the commonest
 	times [patienceBins]int
 	usual int
@@ -31,6 +32,8 @@
 	limit            float64
 	stretch          float64 // mean of latency over aim
 	ratio            float64 // latency against the class's mean
+	slow             float64 // latency against the class's when calm
+	cutAt, sentAt    float64
 	errs             float64 // share of errors, recent
 	util             float64
 	utilAt           float64
