--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,8 @@
 	stretchHigh  = 0.35  // answers that take this share of their aim shrink a server's limit
 	stretchLow   = 0.25  // and below this one it may grow
 	minLimit     = 0.4   // below 1: one out at a time, with pauses
-	utilHigh     = 0.93  // cores busier than this, with
+	utilLow      = 0.88  // cores less busy than this let a limit grow again
+	utilHigh     = 0.95  // cores busier than this, with
 	slowX        = 2.2   // answers so many times slower than when calm: driven too hard
 	cutEveryS    = 0.3   // least time between two cuts of a limit for that
 	baseDrift    = 0.001 // an answer: how fast the calm latency follows a lasting change
@@ -796,9 +797,15 @@
 	s.errs += 0.1 * (bad - s.errs)
 	if o.Status == OK || o.Status == Timeout {
 		s.stretch += 0.1 * (o.SpentS/c.AimS - s.stretch)
+		// Guards against driving servers harder than they bear: cores all busy and answers far
+		// slower than when calm. Covers thrash, throttling and a shared brake alike; costs some
+		// throughput where full cores do no harm.
+		if s.util > utilHigh && s.slow > slowX && g.now-s.utilAt < 2*probeEveryS && g.now-s.cutAt > cutEveryS {
+			s.limit, s.cutAt = max(minLimit, min(s.limit, float64(s.inflight)+1)*0.9), g.now
+		}
 		if s.stretch > stretchHigh {
 			s.limit = max(minLimit, s.limit*0.97)
-		} else if s.stretch < stretchLow && s.slow < slowX && float64(s.inflight)+1.5 >= s.limit {
+		} else if s.stretch < stretchLow && (s.slow < slowX || s.util < utilLow) && float64(s.inflight)+1.5 >= s.limit {
 			s.limit = min(maxLimit, s.limit+0.1)
 		}
 	}
@@ -807,12 +814,6 @@
 // report takes in a load report.
 func (g *Gateway) report(s *server, l *Load) {
 	if l != nil && l.Util >= 0 {
-		// Guards against driving servers harder than they bear: cores all busy and answers far
-		// slower than when calm. Covers thrash, throttling and a shared brake alike; costs some
-		// throughput where full cores do no harm.
-		if l.Util > utilHigh && s.slow > slowX && g.now-s.cutAt > cutEveryS {
-			s.limit, s.cutAt = max(minLimit, min(s.limit, float64(s.inflight)+1)*0.9), g.now
-		}
 		s.util, s.utilAt = l.Util, g.now
 	}
 }
