--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	maxLimit     = 64.0  // and at most
 	stretchHigh  = 0.35  // answers that take this share of their aim shrink a server's limit
 	stretchLow   = 0.25  // and below this one it may grow
-	minLimit     = 0.4   // below 1: one out at a time, with pauses
+	minLimit     = 1.0   // a server always gets one
 	utilLow      = 0.88  // cores less busy than this let a limit grow again
 	utilHigh     = 0.95  // cores busier than this, with
 	slowX        = 2.2   // answers so many times slower than when calm: driven too hard
@@ -193,12 +193,7 @@
 	if len(r.attempts) == 0 && r.cust != nil {
 		g.spend(r.cust, r.Units)
 	}
-	until := r.DeadlineS
-	if r.cls.LateWorth == 0 {
-		until = r.aimAt
-	}
 	s.inflight++
-	s.sentAt = g.now
 	r.out++
 	g.outBy(r, 1)
 	r.attempts = append(r.attempts, attempt{srv: s, sentAt: g.now})
@@ -207,7 +202,7 @@
 	} else {
 		g.warmRate += r.cls.lat / (demandTauS * float64(max(1, len(g.order))))
 	}
-	g.act.Send(r.ID, s.ID, max(until-g.now, guardS))
+	g.act.Send(r.ID, s.ID, max(r.endAt()-g.now, guardS))
 }
 
 // outBy counts the customer's attempts out, which a parallel plan's owner hears of.
@@ -282,13 +277,13 @@
 	g.drain()
 }
 
+// endAt is when an answer is no longer worth the servers' work: after the aim, for
+// the share of the time left in which it still earns something.
+func (r *request) endAt() float64 { return r.aimAt + r.cls.LateWorth*max(r.DeadlineS-r.aimAt, 0) }
+
 // mayRetry tells whether another attempt is allowed and worth it.
 func (g *Gateway) mayRetry(r *request) bool {
-	end := r.DeadlineS
-	if r.cls.LateWorth == 0 {
-		end = r.aimAt
-	}
-	if len(r.attempts) >= max(1, g.s.MaxAttempts) || g.now+r.cls.lat > end {
+	if len(r.attempts) >= max(1, g.s.MaxAttempts) || g.now+r.cls.lat > r.endAt() {
 		return false
 	}
 	return r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-lagS
@@ -739,8 +734,7 @@
 	var best *server
 	low := math.Inf(1)
 	for _, s := range g.order {
-		if s.State != Up || g.now < s.downUntil || s.doubt || float64(s.inflight) >= math.Ceil(s.limit) ||
-			s.limit < 1 && g.now-s.sentAt < s.ratio*r.cls.lat/s.limit {
+		if s.State != Up || g.now < s.downUntil || s.doubt || float64(s.inflight) >= math.Ceil(s.limit) {
 			continue
 		}
 		if r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -33,7 +33,7 @@
 	stretch          float64 // mean of latency over aim
 	ratio            float64 // latency against the class's mean
 	slow             float64 // latency against the class's when calm
-	cutAt, sentAt    float64
+	cutAt            float64
 	errs             float64 // share of errors, recent
 	util             float64
 	utilAt           float64
