--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,8 +30,8 @@
 	suspectS     = 0.5   // probes of servers in doubt
 	startLimit   = 7.0   // attempts out at one server, all gateways together, to begin with
 	maxLimit     = 64.0  // and at most
-	stretchHigh  = 0.3   // answers that take this share of their aim shrink a server's limit
-	stretchLow   = 0.2   // and below this one it may grow
+	stretchHigh  = 0.22  // answers that take this share of their aim shrink a server's limit
+	stretchLow   = 0.15  // and below this one it may grow
 	minLimit     = 1.0   // a server always gets one
 	utilLow      = 0.88  // cores less busy than this let a limit grow again
 	utilHigh     = 0.95  // cores busier than this, with
