--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	maxLimit     = 64.0  // and at most
 	stretchHigh  = 0.22  // answers that take this share of their aim shrink a server's limit
 	stretchLow   = 0.15  // and below this one it may grow
-	minLimit     = 1.0   // a server always gets one
+	minLimit     = 3.0   // and at least; below 1 for each gateway: one at a time, with pauses
 	utilLow      = 0.88  // cores less busy than this let a limit grow again
 	utilHigh     = 0.95  // cores busier than this, with
 	slowX        = 2.2   // answers so many times slower than when calm: driven too hard
@@ -60,6 +60,7 @@
 	if s.PeerIntake > 0 {
 		g.batch = max(batchS, float64(s.Gateways-1)/(s.PeerIntake*intakeShare))
 	}
+	g.minLimit = min(1, minLimit/float64(s.Gateways))
 	for _, c := range s.Classes {
 		g.classes[c.Name] = &class{Class: c, lat: 0.15 * c.AimS}
 	}
@@ -194,6 +195,7 @@
 		g.spend(r.cust, r.Units)
 	}
 	s.inflight++
+	s.sentAt = g.now
 	r.out++
 	g.outBy(r, 1)
 	r.attempts = append(r.attempts, attempt{srv: s, sentAt: g.now})
@@ -681,10 +683,10 @@
 	for _, e := range list {
 		s := g.servers[e.ID]
 		if s == nil {
-			s = &server{limit: max(2, startLimit/float64(g.s.Gateways)), ratio: 1}
+			s = &server{limit: startLimit / float64(g.s.Gateways), ratio: 1}
 			g.servers[e.ID] = s
 		} else if e.SinceS > s.SinceS {
-			s.limit, s.downUntil, s.doubt = max(2, startLimit/float64(g.s.Gateways)), 0, false
+			s.limit, s.downUntil, s.doubt = startLimit/float64(g.s.Gateways), 0, false
 			s.stretch, s.ratio, s.errs = 0, 1, 0
 		}
 		s.Server, s.listed = e, e.State != Removed
@@ -734,7 +736,8 @@
 	var best *server
 	low := math.Inf(1)
 	for _, s := range g.order {
-		if s.State != Up || g.now < s.downUntil || s.doubt || float64(s.inflight) >= math.Ceil(s.limit) {
+		if s.State != Up || g.now < s.downUntil || s.doubt || float64(s.inflight) >= math.Ceil(s.limit) ||
+			s.limit < 1 && g.now-s.sentAt < s.ratio*r.cls.lat/s.limit {
 			continue
 		}
 		if r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) {
@@ -795,10 +798,10 @@
 		// slower than when calm. Covers thrash, throttling and a shared brake alike; costs some
 		// throughput where full cores do no harm.
 		if s.util > utilHigh && s.slow > slowX && g.now-s.utilAt < 2*probeEveryS && g.now-s.cutAt > cutEveryS {
-			s.limit, s.cutAt = max(minLimit, min(s.limit, float64(s.inflight)+1)*0.9), g.now
+			s.limit, s.cutAt = max(g.minLimit, min(s.limit, float64(s.inflight)+1)*0.9), g.now
 		}
 		if s.stretch > stretchHigh {
-			s.limit = max(minLimit, s.limit*0.97)
+			s.limit = max(g.minLimit, s.limit*0.97)
 		} else if s.stretch < stretchLow && (s.slow < slowX || s.util < utilLow) && float64(s.inflight)+1.5 >= s.limit {
 			s.limit = min(maxLimit, s.limit+0.1)
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -33,7 +33,7 @@
 	stretch          float64 // mean of latency over aim
 	ratio            float64 // latency against the class's mean
 	slow             float64 // latency against the class's when calm
-	cutAt            float64
+	cutAt, sentAt    float64
 	errs             float64 // share of errors, recent
 	util             float64
 	utilAt           float64
@@ -126,6 +126,7 @@
 	born     float64
 	boot     uint8
 	seq      uint16
+	minLimit float64
 	batch    float64
 	nextTell float64
 	ring     []ringPoint
