--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,6 @@
 	utilLow      = 0.88  // cores less busy than this let a limit grow again
 	utilHigh     = 0.95  // cores busier than this, with
 	slowX        = 2.2   // answers so many times slower than when calm: driven too hard
-	easyX        = 1.5   // answers less slow than this never shrink a limit
 	cutEveryS    = 0.3   // least time between two cuts of a limit for that
 	baseDrift    = 0.001 // an answer: how fast the calm latency follows a lasting change
 	silentX      = 6.0   // a server that answers nothing for so many mean latencies is in doubt
@@ -801,9 +800,9 @@
 		if s.util > utilHigh && s.slow > slowX && g.now-s.utilAt < 2*probeEveryS && g.now-s.cutAt > cutEveryS {
 			s.limit, s.cutAt = max(g.minLimit, min(s.limit, float64(s.inflight)+1)*0.9), g.now
 		}
-		if s.stretch > stretchHigh && s.slow > easyX {
+		if s.stretch > stretchHigh {
 			s.limit = max(g.minLimit, s.limit*0.97)
-		} else if (s.stretch < stretchLow || s.slow < easyX) && (s.slow < slowX || s.util < utilLow) && float64(s.inflight)+1.5 >= s.limit {
+		} else if s.stretch < stretchLow && (s.slow < slowX || s.util < utilLow) && float64(s.inflight)+1.5 >= s.limit {
 			s.limit = min(maxLimit, s.limit+0.1)
 		}
 	}
