--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	calmShare    = 0.3   // of the limits: with less out than this, the back end is calm
 	hedgeShare   = 0.4   // of the aim: an attempt in doubt this old is tried elsewhere
 	downS        = 0.5   // a server that refuses connections is left alone so long, then probed
+	busyTauS     = 1.0   // memory of what this gateway keeps out at a server
 	guardS       = 0.004 // margin on deadlines
 )
 
@@ -195,6 +196,7 @@
 		g.spend(r.cust, r.Units)
 	}
 	s.inflight++
+	s.busy = s.busy*math.Exp((s.sentAt-g.now)/busyTauS) + min(s.ratio*r.cls.lat/busyTauS, 1)
 	s.sentAt = g.now
 	r.out++
 	g.outBy(r, 1)
@@ -746,7 +748,8 @@
 		if !g.coldRoom(s, r.cls.lat) {
 			continue
 		}
-		load := float64(s.inflight) + 1
+		// What the others have there is unseen: the best guess is that each sends as this one does.
+		load := float64(s.inflight) + 1 + float64(g.s.Gateways-1)*s.busy*math.Exp((s.sentAt-g.now)/busyTauS)
 		if s.Zone != g.s.Zone {
 			load += 25 * g.s.CrossZonePrice
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -34,6 +34,7 @@
 	ratio            float64 // latency against the class's mean
 	slow             float64 // latency against the class's when calm
 	cutAt, sentAt    float64
+	busy             float64 // mean attempts out here of late
 	errs             float64 // share of errors, recent
 	util             float64
 	utilAt           float64
