--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,37 +15,38 @@
 
 // Constants, with their reasons. Times are in seconds.
 const (
-	ringPoints   = 512   // points a gateway, as in the post
-	batchS       = 0.1   // least time between batches: "a few times a second"
-	intakeShare  = 0.5   // of peerIntake that batches may fill, the rest is for bursts of delay
-	missBatches  = 3     // batches without a reply before the owner counts as silent
-	peerSilentS  = 0.9   // a peer unheard for so long leaves the ring
-	lagS         = 0.05  // added to the batch time: how old a verdict may be when it is used
-	demandTauS   = 1.5   // memory of what a customer asks for
-	memberS      = 3.0   // a member unheard of a customer for so long asks nothing of it
-	youngS       = 2.0   // a ledger younger than this believes the room that members hand back
-	forgetS      = 60.0  // customers unused for so long are forgotten
-	tickS        = 0.02  // how often queue and attempts are looked at
-	probeEveryS  = 1.0   // load probes, where load reports come with probes alone
-	suspectS     = 0.5   // probes of servers in doubt
-	startLimit   = 7.0   // attempts out at one server, all gateways together, to begin with
-	maxLimit     = 64.0  // and at most
-	stretchHigh  = 0.22  // answers that take this share of their aim shrink a server's limit
-	stretchLow   = 0.15  // and below this one it may grow
-	minLimit     = 3.0   // and at least; below 1 for each gateway: one at a time, with pauses
-	utilLow      = 0.88  // cores less busy than this let a limit grow again
-	utilHigh     = 0.95  // cores busier than this, with
-	slowX        = 2.2   // answers so many times slower than when calm: driven too hard
-	cutEveryS    = 0.3   // least time between two cuts of a limit for that
-	baseDrift    = 0.001 // an answer: how fast the calm latency follows a lasting change
-	silentX      = 6.0   // a server that answers nothing for so many mean latencies is in doubt
-	patienceMin  = 10    // tries of a class before later ones are told from first ones
-	patienceBins = 101   // shares of the deadline told apart
-	calmShare    = 0.3   // of the limits: with less out than this, the back end is calm
-	hedgeShare   = 0.4   // of the aim: an attempt in doubt this old is tried elsewhere
-	downS        = 0.5   // a server that refuses connections is left alone so long, then probed
-	busyTauS     = 1.0   // memory of what this gateway keeps out at a server
-	guardS       = 0.004 // margin on deadlines
+	ringPoints    = 512   // points a gateway, as in the post
+	batchS        = 0.1   // least time between batches: "a few times a second"
+	intakeShare   = 0.5   // of peerIntake that batches may fill, the rest is for bursts of delay
+	missBatches   = 3     // batches without a reply before the owner counts as silent
+	peerSilentS   = 0.9   // a peer unheard for so long leaves the ring
+	lagS          = 0.05  // added to the batch time: how old a verdict may be when it is used
+	demandTauS    = 1.5   // memory of what a customer asks for
+	memberS       = 3.0   // a member unheard of a customer for so long asks nothing of it
+	youngS        = 2.0   // a ledger younger than this believes the room that members hand back
+	forgetS       = 60.0  // customers unused for so long are forgotten
+	tickS         = 0.02  // how often queue and attempts are looked at
+	probeEveryS   = 1.0   // load probes, where load reports come with probes alone
+	suspectS      = 0.5   // probes of servers in doubt
+	startLimit    = 7.0   // attempts out at one server, all gateways together, to begin with
+	maxLimit      = 64.0  // and at most
+	stretchHigh   = 0.22  // answers that take this share of their aim shrink a server's limit
+	stretchLow    = 0.15  // and below this one it may grow
+	minLimit      = 3.0   // and at least; below 1 for each gateway: one at a time, with pauses
+	utilLow       = 0.88  // cores less busy than this let a limit grow again
+	utilHigh      = 0.95  // cores busier than this, with
+	slowX         = 2.2   // answers so many times slower than when calm: driven too hard
+	cutEveryS     = 0.3   // least time between two cuts of a limit for that
+	baseDrift     = 0.001 // an answer: how fast the calm latency follows a lasting change
+	silentX       = 6.0   // a server that answers nothing for so many mean latencies is in doubt
+	patienceMin   = 10    // tries of a class before later ones are told from first ones
+	patienceBins  = 101   // shares of the deadline told apart
+	calmShare     = 0.3   // of the limits: with less out than this, the back end is calm
+	hedgeShare    = 0.4   // of the aim: an attempt in doubt this old is tried elsewhere
+	downS         = 0.5   // a server that refuses connections is left alone so long, then probed
+	timeoutWeight = 0.15  // how far one attempt that timed out moves a server's speed and limit
+	busyTauS      = 1.0   // memory of what this gateway keeps out at a server
+	guardS        = 0.004 // margin on deadlines
 )
 
 // New returns the gateway's decisions at its start. The list of servers follows through Servers.
@@ -783,10 +784,14 @@
 			c.base = c.lat
 		}
 		s.slow += 0.1 * (min(o.SpentS/c.base, 10) - s.slow)
-		s.ratio += 0.05 * (min(o.SpentS/c.lat, 4) - s.ratio)
+		s.ratio += 0.1 * (min(o.SpentS/c.lat, 4) - s.ratio)
 		s.ratio = min(max(s.ratio, 0.3), 4)
 	case Error:
 		s.heardAt, bad = g.now, 1
+	case Timeout:
+		// Guards against a server that is slow rather than silent: its answers in time look fine.
+		s.ratio += timeoutWeight * (max(4, s.ratio) - s.ratio)
+		s.limit = max(g.minLimit, s.limit*(1-timeoutWeight))
 	case Full:
 		s.heardAt = g.now
 		s.limit = max(1, min(s.limit, float64(s.inflight))*0.9)
