--- a/policy/policy.go
+++ b/policy/policy.go
@@ -773,6 +773,7 @@
 // learn takes from an attempt's end what it tells of the server.
 func (g *Gateway) learn(r *request, a *attempt, o Outcome) {
 	s, c := a.srv, r.cls
+	easy := s.util < utilLow && g.now-s.utilAt < 2*probeEveryS // cores are free: not driven too hard
 	bad := 0.0
 	switch o.Status {
 	case OK:
@@ -791,7 +792,9 @@
 	case Timeout:
 		// Guards against a server that is slow rather than silent: its answers in time look fine.
 		s.ratio += timeoutWeight * (max(4, s.ratio) - s.ratio)
-		s.limit = max(g.minLimit, s.limit*(1-timeoutWeight))
+		if !easy {
+			s.limit = max(g.minLimit, s.limit*(1-timeoutWeight))
+		}
 	case Full:
 		s.heardAt = g.now
 		s.limit = max(1, min(s.limit, float64(s.inflight))*0.9)
@@ -808,10 +811,10 @@
 		if s.util > utilHigh && s.slow > slowX && g.now-s.utilAt < 2*probeEveryS && g.now-s.cutAt > cutEveryS {
 			s.limit, s.cutAt = max(g.minLimit, min(s.limit, float64(s.inflight)+1)*0.9), g.now
 		}
-		if s.stretch > stretchHigh {
+		if s.stretch > stretchHigh && !easy {
 			s.limit = max(g.minLimit, s.limit*0.97)
-		} else if s.stretch < stretchLow && (s.slow < slowX || s.util < utilLow) && float64(s.inflight)+1.5 >= s.limit {
-			s.limit = min(maxLimit, s.limit+0.1)
+		} else if (easy || s.stretch < stretchLow && s.slow < slowX) && float64(s.inflight)+1.5 >= s.limit {
+			s.limit = min(maxLimit, s.limit+0.1*min(1, s.limit))
 		}
 	}
 }
