--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,8 +33,8 @@
 	stretchHigh   = 0.22  // answers that take this share of their aim shrink a server's limit
 	stretchLow    = 0.15  // and below this one it may grow
 	minLimit      = 3.0   // and at least; below 1 for each gateway: one at a time, with pauses
-	utilLow       = 0.88  // cores less busy than this let a limit grow again
-	utilHigh      = 0.95  // cores busier than this, with
+	utilLow       = 0.7   // cores less busy than this let a limit grow again
+	utilHigh      = 0.85  // cores busier than this, with
 	slowX         = 2.2   // answers so many times slower than when calm: driven too hard
 	cutEveryS     = 0.3   // least time between two cuts of a limit for that
 	baseDrift     = 0.001 // an answer: how fast the calm latency follows a lasting change
