--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,13 +28,13 @@
 	tickS         = 0.02  // how often queue and attempts are looked at
 	probeEveryS   = 1.0   // load probes, where load reports come with probes alone
 	suspectS      = 0.5   // probes of servers in doubt
-	startLimit    = 7.0   // attempts out at one server, all gateways together, to begin with
+	startLimit    = 4.0   // attempts out at one server, all gateways together, to begin with
 	maxLimit      = 64.0  // and at most
 	stretchHigh   = 0.22  // answers that take this share of their aim shrink a server's limit
 	stretchLow    = 0.15  // and below this one it may grow
 	minLimit      = 3.0   // and at least; below 1 for each gateway: one at a time, with pauses
-	utilLow       = 0.7   // cores less busy than this let a limit grow again
-	utilHigh      = 0.85  // cores busier than this, with
+	utilLow       = 0.8   // cores less busy than this let a limit grow again
+	utilHigh      = 0.9   // cores busier than this, with
 	slowX         = 2.2   // answers so many times slower than when calm: driven too hard
 	cutEveryS     = 0.3   // least time between two cuts of a limit for that
 	baseDrift     = 0.001 // an answer: how fast the calm latency follows a lasting change
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -353,7 +353,11 @@
 	m := 1 - own
 	for i := range 100 {
 		now := 100 + float64(i)*0.02
-		ask(g[m], now, fmt.Sprint("q", i), "read", "basic", 1)
+		id := fmt.Sprint("q", i)
+		ask(g[m], now, id, "read", "basic", 1)
+		for _, a := range r[m].of("send", id) {
+			g[m].Outcome(now, Outcome{ID: id, Server: a.server, Status: OK, Over: true, SpentS: 0.05})
+		}
 		pump(now)
 	}
 	s := testSettings()
