--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	maxLimit      = 64.0  // and at most
 	stretchHigh   = 0.22  // answers that take this share of their aim shrink a server's limit
 	stretchLow    = 0.15  // and below this one it may grow
-	minLimit      = 2.0   // and at least; below 1 for each gateway: one at a time, with pauses
+	minLimit      = 3.0   // and at least; below 1 for each gateway: one at a time, with pauses
 	utilLow       = 0.8   // cores less busy than this let a limit grow again
 	utilHigh      = 0.9   // cores busier than this, with
 	slowX         = 2.2   // answers so many times slower than when calm: driven too hard
