--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,7 +17,7 @@
 const (
 	ringPoints    = 512   // points a gateway, as in the post
 	batchS        = 0.1   // least time between batches: "a few times a second"
-	intakeShare   = 0.5   // of peerIntake that batches may fill, the rest is for bursts of delay
+	intakeShare   = 0.7   // of peerIntake that batches may fill, the rest is for bunched messages
 	missBatches   = 3     // batches without a reply before the owner counts as silent
 	peerSilentS   = 0.9   // a peer unheard for so long leaves the ring
 	lagS          = 0.05  // added to the batch time: how old a verdict may be when it is used
@@ -59,9 +59,6 @@
 		reqs: map[string]*request{}, custs: map[uint32]*customer{}, peers: make([]peer, s.Gateways), warmAt: now}
 	g.boot = uint8(g.rng.Uint32())
 	g.batch = batchS
-	if s.PeerIntake > 0 {
-		g.batch = max(batchS, float64(s.Gateways-1)/(s.PeerIntake*intakeShare))
-	}
 	g.minLimit = min(1, minLimit/float64(s.Gateways))
 	for _, c := range s.Classes {
 		g.classes[c.Name] = &class{Class: c, lat: 0.15 * c.AimS}
@@ -108,8 +105,7 @@
 	r.aimAt = min(r.aimAt, q.DeadlineS)
 	price := 1.0
 	if r.plan != nil {
-		price = r.plan.Price
-		r.cust = g.customer(q)
+		price, r.cust = r.plan.Price, g.customer(q)
 		g.asked(r.cust, q.Units)
 		g.note(r.cust)
 	}
@@ -179,19 +175,6 @@
 	}
 }
 
-// hold keeps the units of a queued first send apart, so that a queue can't
-// promise the same room twice.
-func (g *Gateway) hold(r *request, queued bool) {
-	if r.queued != queued && r.cust != nil && len(r.attempts) == 0 {
-		if queued {
-			r.cust.pend += r.Units
-		} else {
-			r.cust.pend -= r.Units
-		}
-	}
-	r.queued = queued
-}
-
 func (g *Gateway) send(r *request, s *server) {
 	if len(r.attempts) == 0 && r.cust != nil {
 		g.spend(r.cust, r.Units)
@@ -210,16 +193,6 @@
 	g.act.Send(r.ID, s.ID, max(r.endAt()-g.now, guardS))
 }
 
-// outBy counts the customer's attempts out, which a parallel plan's owner hears of.
-func (g *Gateway) outBy(r *request, n int) {
-	if r.cust == nil {
-		return
-	}
-	if r.cust.out += n; r.plan.Parallel > 0 {
-		g.note(r.cust)
-	}
-}
-
 // refuse ends the request with the mildest answer that is true.
 func (g *Gateway) refuse(r *request) {
 	if r.over {
@@ -243,13 +216,6 @@
 	g.tidy(r)
 }
 
-// tidy forgets a request that is over and has nothing out.
-func (g *Gateway) tidy(r *request) {
-	if r.over && r.out == 0 {
-		delete(g.reqs, r.ID)
-	}
-}
-
 // Outcome takes the end of an attempt.
 func (g *Gateway) Outcome(now float64, o Outcome) {
 	g.now = now
@@ -296,7 +262,6 @@
 
 // Started takes the start of a streamed answer: the attempt belongs to the client now.
 func (g *Gateway) Started(now float64, id string, attempt int) {
-	g.now = now
 	if r := g.reqs[id]; r != nil {
 		r.stream = true
 	}
@@ -323,14 +288,12 @@
 			g.hold(r, false)
 			continue
 		}
-		s := g.choose(r)
-		late := g.now+r.cls.lat > r.aimAt || !g.mayRetry(r)
+		s, late := g.choose(r), g.now+r.cls.lat > r.aimAt || !g.mayRetry(r)
 		if s == nil && !late {
 			kept = append(kept, r)
 			continue
 		}
-		g.hold(r, false)
-		if late || !g.admit(r) {
+		if g.hold(r, false); late || !g.admit(r) {
 			g.refuse(r) // it counts when it is sent: the room may be gone by now
 		} else {
 			g.send(r, s)
@@ -374,14 +337,29 @@
 	if c == nil {
 		c = g.newCustomer(key, g.byPlan[q.Plan])
 	}
+	if c.hash != h {
+		for i := range g.peers {
+			if d := (i - q.First + g.s.Gateways) % g.s.Gateways; q.Entries <= 0 || d < q.Entries {
+				g.meet(i)
+			}
+		}
+	}
 	c.hash, c.first, c.entries, c.usedAt = h, q.First, q.Entries, g.now
 	return c
 }
 
-func (g *Gateway) newCustomer(key uint32, p *plan) *customer {
-	c := &customer{key: key, plan: p, room: p.Burst, roomAt: g.now, demandAt: g.now, usedAt: g.now, ceilAt: g.born}
-	g.custs[key] = c
-	return c
+// meet makes a gateway a neighbour: it shares a customer with this one. Only neighbours talk,
+// so that the rhythm follows what each must take in.
+func (g *Gateway) meet(gw int) {
+	p := &g.peers[gw]
+	if p.near || gw == g.s.Me {
+		return
+	}
+	p.near, p.heardAt = true, g.now
+	g.near++
+	if g.s.PeerIntake > 0 {
+		g.batch = max(batchS, float64(g.near)/(g.s.PeerIntake*intakeShare))
+	}
 }
 
 func (g *Gateway) alive(gw int) bool { return gw == g.s.Me || g.now-g.peers[gw].heardAt < peerSilentS }
@@ -392,7 +370,8 @@
 	if !g.s.Peers || g.s.Gateways == 1 {
 		return g.s.Me
 	}
-	i, _ := slices.BinarySearchFunc(g.ring, c.hash, func(p ringPoint, h uint64) int { return cmp.Compare(p.at, h) })
+	at := func(p ringPoint, h uint64) int { return cmp.Compare(p.at, h) }
+	i, _ := slices.BinarySearchFunc(g.ring, c.hash, at)
 	for n := range g.ring {
 		gw := g.ring[(i+n)%len(g.ring)].gw
 		d := (gw - c.first + g.s.Gateways) % g.s.Gateways
@@ -405,8 +384,7 @@
 
 // asked counts what the customer asks for here, passed or not.
 func (g *Gateway) asked(c *customer, units float64) {
-	c.demand = c.demand*math.Exp((c.demandAt-g.now)/demandTauS) + units/demandTauS
-	c.demandAt = g.now
+	c.demand, c.demandAt = g.demandNow(c)+units/demandTauS, g.now
 }
 
 func (g *Gateway) demandNow(c *customer) float64 {
@@ -415,12 +393,9 @@
 
 // note marks the customer for the next batch.
 func (g *Gateway) note(c *customer) {
-	o := g.owner(c)
-	if o == g.s.Me {
-		g.replyAll(c, g.s.Me)
-		return
-	}
-	if !c.dirty {
+	if o := g.owner(c); o == g.s.Me {
+		g.replyAll(c)
+	} else if !c.dirty {
 		c.dirty = true
 		g.peers[o].reports = append(g.peers[o].reports, c)
 	}
@@ -450,9 +425,8 @@
 	}
 	if c.led != nil {
 		// Ownership moved on: what was counted here is the best start for a member.
-		c.room, c.roomAt, c.known = g.ledger(c).room, g.now, true
+		c.room, c.roomAt, c.known, c.acked = g.ledger(c).room, g.now, true, c.total
 		c.led = nil
-		c.acked = c.total
 	}
 	room = min(p.Burst, c.room+p.Rate*(g.now-c.roomAt)) - max(c.total-c.acked, 0)
 	silent := !c.known || c.waitFrom > 0 && g.now-c.waitFrom > missBatches*g.batch+lagS
@@ -510,13 +484,13 @@
 }
 
 // replyAll marks replies to all members that lately used the customer.
-func (g *Gateway) replyAll(c *customer, but int) {
+func (g *Gateway) replyAll(c *customer) {
 	if c.led == nil {
 		return
 	}
 	for i := range c.led.members {
 		m := &c.led.members[i]
-		if i != but && i != g.s.Me && m.at > 0 && g.now-m.at < memberS && !m.due {
+		if i != g.s.Me && m.at > 0 && g.now-m.at < memberS && !m.due {
 			m.due = true
 			g.peers[i].replies = append(g.peers[i].replies, c)
 		}
@@ -528,10 +502,10 @@
 func (g *Gateway) tell() {
 	g.seq++
 	for i := range g.peers {
-		if i == g.s.Me {
+		p := &g.peers[i]
+		if !p.near {
 			continue
 		}
-		p := &g.peers[i]
 		b := appendHeader(make([]byte, 0, msgLimit), g.boot, g.seq)
 		n := 0
 		later := p.reports[:0]
@@ -559,12 +533,11 @@
 		p.reports = later
 		rest := p.replies[:0]
 		for _, c := range p.replies {
-			if c.led == nil {
-				continue
-			}
 			if n == msgMost {
 				rest = append(rest, c)
 				continue
+			} else if c.led == nil {
+				continue
 			}
 			m := &c.led.members[i]
 			m.due = false
@@ -586,9 +559,9 @@
 	if !ok || from < 0 || from >= len(g.peers) || from == g.s.Me {
 		return
 	}
+	g.meet(from)
 	p := &g.peers[from]
-	fresh := boot != p.boot || p.seq == 0
-	if !fresh && int16(seq-p.seq) <= 0 {
+	if boot == p.boot && p.seq != 0 && int16(seq-p.seq) <= 0 {
 		return // late or twice
 	}
 	p.boot, p.seq, p.heardAt = boot, seq, now
@@ -630,7 +603,7 @@
 	}
 	l.room = max(l.room-delta, min(l.room, 0))
 	*m = member{window: r.Window, total: r.Total, rate: r.Rate, out: int(r.Out), at: g.now, due: m.due}
-	g.replyAll(c, -1)
+	g.replyAll(c)
 }
 
 // verdict takes in the room that the owner reports.
--- a/policy/state.go
+++ b/policy/state.go
@@ -111,6 +111,7 @@
 }
 
 type peer struct {
+	near    bool // shares a customer with this gateway
 	heardAt float64
 	boot    uint8
 	seq     uint16
@@ -126,6 +127,7 @@
 	now      float64
 	born     float64
 	boot     uint8
+	near     int // neighbours
 	seq      uint16
 	minLimit float64
 	batch    float64
@@ -203,3 +205,40 @@
 	}
 	return nil
 }
+
+// hold keeps the units of a queued first send apart, so that a queue can't
+// promise the same room twice.
+func (g *Gateway) hold(r *request, queued bool) {
+	if r.queued != queued && r.cust != nil && len(r.attempts) == 0 {
+		if queued {
+			r.cust.pend += r.Units
+		} else {
+			r.cust.pend -= r.Units
+		}
+	}
+	r.queued = queued
+}
+
+// outBy counts the customer's attempts out, which a parallel plan's owner hears of.
+func (g *Gateway) outBy(r *request, n int) {
+	if r.cust == nil {
+		return
+	}
+	if r.cust.out += n; r.plan.Parallel > 0 {
+		g.note(r.cust)
+	}
+}
+
+// tidy forgets a request that is over and has nothing out.
+func (g *Gateway) tidy(r *request) {
+	if r.over && r.out == 0 {
+		delete(g.reqs, r.ID)
+	}
+}
+
+func (g *Gateway) newCustomer(key uint32, p *plan) *customer {
+	c := &customer{key: key, plan: p, room: p.Burst, roomAt: g.now, demandAt: g.now, usedAt: g.now,
+		ceilAt: g.born}
+	g.custs[key] = c
+	return c
+}
