--- a/policy/policy.go
+++ b/policy/policy.go
@@ -382,15 +382,6 @@
 	return g.s.Me
 }
 
-// asked counts what the customer asks for here, passed or not.
-func (g *Gateway) asked(c *customer, units float64) {
-	c.demand, c.demandAt = g.demandNow(c)+units/demandTauS, g.now
-}
-
-func (g *Gateway) demandNow(c *customer) float64 {
-	return c.demand * math.Exp((c.demandAt-g.now)/demandTauS)
-}
-
 // note marks the customer for the next batch.
 func (g *Gateway) note(c *customer) {
 	if o := g.owner(c); o == g.s.Me {
@@ -453,8 +444,14 @@
 		}
 		c.led = &ledger{room: room, at: g.now, born: g.now, members: make([]member, g.s.Gateways)}
 	}
-	l := c.led
-	l.room = min(c.plan.Burst, l.room+c.plan.Rate*(g.now-l.at))
+	l, rate := c.led, c.plan.Rate
+	if g.cut {
+		// Most neighbours silent at once are cut off, not dead: they go on serving the same
+		// customers. A local window then opens by this gateway's part alone. Covers lost links
+		// and messages dropped alike; costs room where most gateways really died together.
+		rate /= g.entriesOf(c)
+	}
+	l.room = min(c.plan.Burst, l.room+rate*(g.now-l.at))
 	l.at = g.now
 	return l
 }
@@ -501,6 +498,13 @@
 // member ride together. A message goes out even if empty: it is the sign of life.
 func (g *Gateway) tell() {
 	g.seq++
+	heard := 0
+	for i := range g.peers {
+		if g.peers[i].near && g.alive(i) {
+			heard++
+		}
+	}
+	g.cut = g.near > 1 && 2*heard < g.near
 	for i := range g.peers {
 		p := &g.peers[i]
 		if !p.near {
@@ -637,10 +641,7 @@
 	if p.CeilingRate <= 0 {
 		return true
 	}
-	n := float64(c.entries)
-	if c.entries <= 0 || c.entries > g.s.Gateways {
-		n = float64(g.s.Gateways)
-	}
+	n := g.entriesOf(c)
 	c.ceil = min(p.CeilingBurst/n, c.ceil+p.CeilingRate/n*(g.now-c.ceilAt))
 	c.ceilAt = g.now
 	return units <= c.ceil
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -472,3 +472,21 @@
 		t.Fatal("the same events gave other actions")
 	}
 }
+
+// Guards round 21: with all messages lost, every gateway granted the whole quota.
+func TestCutOffGatewayPassesItsPartAlone(t *testing.T) {
+	g, r := gateway(t, func(s *Settings) { s.Gateways = 4 })
+	for i := range 1000 {
+		now := 100 + float64(i)*0.05
+		id := fmt.Sprint("q", i)
+		ask(g, now, id, "read", "basic", 1)
+		for _, a := range r.of("send", id) {
+			g.Outcome(now, Outcome{ID: id, Server: a.server, Status: OK, Over: true, SpentS: 0.05})
+		}
+		g.Timer(now, 1)
+	}
+	// 50 s of 2 units a second shared by 4, and a burst of 8; a little more before silence is told.
+	if n := len(r.of("send", "")); n < 28 || n > 38 {
+		t.Fatalf("%d units sent on while cut off, a fourth of the quota is 33", n)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 )
 
@@ -127,7 +128,8 @@
 	now      float64
 	born     float64
 	boot     uint8
-	near     int // neighbours
+	near     int  // neighbours
+	cut      bool // most neighbours are silent
 	seq      uint16
 	minLimit float64
 	batch    float64
@@ -242,3 +244,20 @@
 	g.custs[key] = c
 	return c
 }
+
+// asked counts what the customer asks for here, passed or not.
+func (g *Gateway) asked(c *customer, units float64) {
+	c.demand, c.demandAt = g.demandNow(c)+units/demandTauS, g.now
+}
+
+func (g *Gateway) demandNow(c *customer) float64 {
+	return c.demand * math.Exp((c.demandAt-g.now)/demandTauS)
+}
+
+// entriesOf is the number of gateways that serve the customer.
+func (g *Gateway) entriesOf(c *customer) float64 {
+	if c.entries <= 0 || c.entries > g.s.Gateways {
+		return float64(g.s.Gateways)
+	}
+	return float64(c.entries)
+}
