--- /dev/null
+++ b/policy/example_test.go
@@ -0,0 +1,92 @@
+package policy_test
+
+import (
+	"fmt"
+
+	"cometpond/policy"
+)
+
+// ingress is the least that an ingress has to do: carry out what the gateway asks.
+type ingress struct {
+	name string
+	peer func(data []byte)
+	sent []string
+}
+
+func (in *ingress) Send(id, server string, timeoutS float64) {
+	in.sent = append(in.sent, server)
+	fmt.Printf("%s: send %s to %s\n", in.name, id, server)
+}
+func (in *ingress) Refuse(id string, retryInS float64)    { fmt.Printf("%s: refuse %s\n", in.name, id) }
+func (in *ingress) Fail(id string)                        { fmt.Printf("%s: fail %s\n", in.name, id) }
+func (in *ingress) Cancel(id string, attempt int)         {}
+func (in *ingress) SetTimer(token uint64, delayS float64) {}
+func (in *ingress) Probe(server string)                   {}
+func (in *ingress) Log(text string)                       { fmt.Printf("%s: %s\n", in.name, text) }
+func (in *ingress) Tell(gateway int, data []byte) {
+	if in.peer != nil {
+		in.peer(data)
+	}
+}
+
+func settings(me, gateways int) policy.Settings {
+	return policy.Settings{
+		Me: me, Gateways: gateways, Peers: gateways > 1, PeerIntake: 40, MaxAttempts: 3, MaxRetryAfterS: 1,
+		Classes: []policy.Class{{Name: "read", AimS: 1, DeadlineS: 2, Worth: 1, Effect: policy.Safe}},
+		Plans:   []policy.Plan{{Name: "basic", Rate: 1, Burst: 3, Price: 1, ExcessCost: 1}},
+	}
+}
+
+// One gateway from its start to a final answer.
+func ExampleGateway() {
+	in := &ingress{name: "gateway"}
+	g, err := policy.New(settings(0, 1), 42, 10, in)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	g.Servers(10, []policy.Server{{ID: "10.0.0.1:80"}}, true)
+	for i := range 2 {
+		g.Request(10, policy.Request{ID: fmt.Sprint("r", i), Class: "read", Plan: "basic", Customer: "ada",
+			DeadlineS: 12, Entries: 1, Units: 2})
+	}
+	g.Outcome(10.1, policy.Outcome{ID: "r0", Server: "10.0.0.1:80", Status: policy.OK, Over: true, SpentS: 0.1})
+	// Output:
+	// gateway: send r0 to 10.0.0.1:80
+	// gateway: refuse r1
+}
+
+// Two gateways keep one customer to one quota: what one lets in, the other hears of.
+func ExampleGateway_owners() {
+	ins := [2]*ingress{{name: "west"}, {name: "east"}}
+	var gates [2]*policy.Gateway
+	now := 10.0
+	for i := range gates {
+		ins[i].peer = func(data []byte) { gates[1-i].Peer(now, i, data) }
+		gates[i], _ = policy.New(settings(i, 2), uint64(i), now, ins[i])
+		gates[i].Servers(now, []policy.Server{{ID: "10.0.0.1:80"}}, true)
+	}
+	ask := func(gateway int, id string) {
+		gates[gateway].Request(now, policy.Request{ID: id, Class: "read", Plan: "basic", Customer: "ada",
+			DeadlineS: now + 2, Entries: 2, Units: 2})
+	}
+	ask(0, "first")
+	for range 30 { // the ingress's timers: 0.6 s, some batches each way
+		now += 0.02
+		gates[0].Timer(now, 1)
+		gates[1].Timer(now, 1)
+	}
+	ask(1, "second")
+	// Output:
+	// west: send first to 10.0.0.1:80
+	// east: refuse second
+}
+
+// Invalid settings come back as an error.
+func ExampleNew() {
+	s := settings(0, 1)
+	s.Plans[0].Burst = 0
+	_, err := policy.New(s, 1, 0, &ingress{})
+	fmt.Println(err)
+	// Output: plan "basic": rates must not be below 0, and a rate needs a burst
+}
