--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,6 +22,7 @@
 	peerSilentS   = 0.9   // a peer unheard for so long leaves the ring
 	lagS          = 0.05  // added to the batch time: how old a verdict may be when it is used
 	demandTauS    = 1.5   // memory of what a customer asks for
+	cheapLeaves   = 0.25  // of the burst, that the cheapest work leaves to dearer work of its customer
 	memberS       = 3.0   // a member unheard of a customer for so long asks nothing of it
 	youngS        = 2.0   // a ledger younger than this believes the room that members hand back
 	forgetS       = 60.0  // customers unused for so long are forgotten
@@ -61,6 +62,7 @@
 	g.batch = batchS
 	g.minLimit = min(1, minLimit/float64(s.Gateways))
 	for _, c := range s.Classes {
+		g.maxWorth = max(g.maxWorth, c.Worth)
 		g.classes[c.Name] = &class{Class: c, lat: 0.15 * c.AimS}
 	}
 	for i, p := range s.Plans {
@@ -99,8 +101,8 @@
 	}
 	r := &request{Request: q, cls: cls, plan: g.byPlan[q.Plan]}
 	r.aimAt = now + cls.AimS + cls.AimStretch*cls.lat
-	if left := q.DeadlineS - now; cls.laterTry(left) {
-		r.aimAt = min(r.aimAt, now+left-cls.DeadlineS+cls.AimS+cls.AimStretch*cls.lat)
+	if cls.laterTry(q.DeadlineS - now) {
+		r.aimAt = min(r.aimAt, q.DeadlineS-cls.DeadlineS+cls.AimS+cls.AimStretch*cls.lat)
 	}
 	r.aimAt = min(r.aimAt, q.DeadlineS)
 	price := 1.0
@@ -143,7 +145,7 @@
 	if !g.ceilingHolds(r.cust, r.Units+r.cust.pend) {
 		return false
 	}
-	if g.inQuota(r.cust, r.Units+r.cust.pend) {
+	if g.inQuota(r.cust, r.Units+r.cust.pend, 1-r.cls.Worth/max(g.maxWorth, 1e-9)) {
 		return true
 	}
 	return r.plan.extra && g.calm()
@@ -392,8 +394,9 @@
 	}
 }
 
-// inQuota is the verdict on the ordinary path.
-func (g *Gateway) inQuota(c *customer, units float64) bool {
+// inQuota is the verdict on the ordinary path. While the customer asks for more than its rate,
+// the cheaper a class is a unit, the more room it must leave to dearer ones.
+func (g *Gateway) inQuota(c *customer, units, cheap float64) bool {
 	room, others, othersOut, whole := g.view(c)
 	if c.plan.Parallel > 0 && c.out+othersOut >= c.plan.Parallel {
 		return false
@@ -401,6 +404,9 @@
 		return c.plan.Rate == 0 || units <= room
 	}
 	mine := g.demandNow(c)
+	if mine+others > c.plan.Rate {
+		units += cheap * cheapLeaves * c.plan.Burst
+	}
 	split := room * mine / max(mine+others, 1e-9)
 	return units <= max(split, room-2*others*(g.batch+lagS))
 }
@@ -408,7 +414,6 @@
 // view gives the room of the whole quota as this gateway knows it, what the
 // others are asked for, and whether it stands alone (a local window).
 func (g *Gateway) view(c *customer) (room, others float64, out int, whole bool) {
-	p := c.plan
 	if g.owner(c) == g.s.Me {
 		l := g.ledger(c)
 		others, out = g.askedElsewhere(l, g.s.Me)
@@ -416,10 +421,9 @@
 	}
 	if c.led != nil {
 		// Ownership moved on: what was counted here is the best start for a member.
-		c.room, c.roomAt, c.known, c.acked = g.ledger(c).room, g.now, true, c.total
-		c.led = nil
+		c.room, c.roomAt, c.known, c.acked, c.led = g.ledger(c).room, g.now, true, c.total, nil
 	}
-	room = min(p.Burst, c.room+p.Rate*(g.now-c.roomAt)) - max(c.total-c.acked, 0)
+	room = min(c.plan.Burst, c.room+c.plan.Rate*(g.now-c.roomAt)) - max(c.total-c.acked, 0)
 	silent := !c.known || c.waitFrom > 0 && g.now-c.waitFrom > missBatches*g.batch+lagS
 	return room, c.others, c.othersOut, silent
 }
@@ -497,22 +501,20 @@
 // tell sends each peer its batch: reports to it as owner and replies to it as
 // member ride together. A message goes out even if empty: it is the sign of life.
 func (g *Gateway) tell() {
-	g.seq++
 	heard := 0
 	for i := range g.peers {
 		if g.peers[i].near && g.alive(i) {
 			heard++
 		}
 	}
-	g.cut = g.near > 1 && 2*heard < g.near
+	g.seq, g.cut = g.seq+1, g.near > 1 && 2*heard < g.near
 	for i := range g.peers {
 		p := &g.peers[i]
 		if !p.near {
 			continue
 		}
 		b := appendHeader(make([]byte, 0, msgLimit), g.boot, g.seq)
-		n := 0
-		later := p.reports[:0]
+		n, later := 0, p.reports[:0]
 		for _, c := range p.reports {
 			if g.owner(c) != i {
 				c.dirty = false
--- a/policy/state.go
+++ b/policy/state.go
@@ -132,6 +132,7 @@
 	cut      bool // most neighbours are silent
 	seq      uint16
 	minLimit float64
+	maxWorth float64 // of any class, a unit
 	batch    float64
 	nextTell float64
 	ring     []ringPoint
