--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	peerSilentS   = 0.9   // a peer unheard for so long leaves the ring
 	lagS          = 0.05  // added to the batch time: how old a verdict may be when it is used
 	demandTauS    = 1.5   // memory of what a customer asks for
-	cheapLeaves   = 0.25  // of the burst, that the cheapest work leaves to dearer work of its customer
+	cheapLeaves   = 0.18  // of the burst, that the cheapest work leaves to dearer work of its customer
 	memberS       = 3.0   // a member unheard of a customer for so long asks nothing of it
 	youngS        = 2.0   // a ledger younger than this believes the room that members hand back
 	forgetS       = 60.0  // customers unused for so long are forgotten
