--- a/policy/policy.go
+++ b/policy/policy.go
@@ -117,7 +117,7 @@
 	r.prio = cls.Worth * price // units stand for work as well as for worth, and cancel out
 	g.reqs[q.ID] = r
 	g.live = append(g.live, r)
-	if !g.mayRetry(r) || !g.admit(r) {
+	if !g.admit(r) {
 		g.refuse(r)
 		return
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -331,19 +331,20 @@
 }
 
 // Guards round 1: the newest report of a busy customer is always unacknowledged.
-func TestBusyOwnerIsNotHeldSilent(t *testing.T) {
-	g, _, pump := pair(t)
-	m := 0
-	if g[0].owner(g[0].customer(Request{Customer: "c-wide", Plan: "wide", Entries: 2})) == 0 {
-		m = 1
+func TestAnyVerdictShowsThatTheOwnerLives(t *testing.T) {
+	g, _ := gateway(t, nil)
+	var c *customer
+	for i := 0; c == nil || g.owner(c) != 1; i++ {
+		c = g.customer(Request{Customer: fmt.Sprint("k", i), Plan: "basic", Entries: 2})
 	}
-	for i := range 200 {
-		now := 100 + float64(i)*0.02
-		ask(g[m], now, fmt.Sprint("q", i), "read", "wide", 1)
-		pump(now)
+	c.window, c.total, c.sent, c.known = 25, 5, 5, true
+	c.waitFrom, c.reportAt = g.now-2, g.now-0.05
+	if _, _, _, alone := g.view(c); !alone {
+		t.Fatal("an unanswered report is no silence, the test shows nothing")
 	}
-	if _, _, _, alone := g[m].view(g[m].custs[uint32(hashOf("c-wide"))&keyMask]); alone {
-		t.Fatal("the member fell back to a local window while its owner replies")
+	g.verdict(c, 1, record{Owner: true, Known: true, Window: 25, Total: 3, Room: 4})
+	if _, _, _, alone := g.view(c); alone {
+		t.Fatal("the member holds its owner silent while it replies")
 	}
 }
 
@@ -352,7 +353,7 @@
 	own := g[0].owner(g[0].customer(Request{Customer: "c-basic", Plan: "basic", Entries: 2}))
 	m := 1 - own
 	for i := range 100 {
-		now := 100 + float64(i)*0.02
+		now := 102 + float64(i)*0.02 // up to where the window turns
 		id := fmt.Sprint("q", i)
 		ask(g[m], now, id, "read", "basic", 1)
 		for _, a := range r[m].of("send", id) {
@@ -362,20 +363,20 @@
 	}
 	s := testSettings()
 	s.Me = own
-	fresh, err := New(s, 99, 102, r[own])
+	fresh, err := New(s, 99, 104, r[own])
 	if err != nil {
 		t.Fatal(err)
 	}
 	g[own] = fresh
 	member, owner := r[m], g[own]
-	ask(g[m], 102.02, "after", "read", "basic", 1)
+	ask(g[m], 104.02, "after", "read", "basic", 1)
 	n := len(member.acts)
-	for now := 102.02; now < 102.3; now += 0.02 {
+	for now := 104.02; now < 104.3; now += 0.02 {
 		g[m].Timer(now, 1)
 	}
 	for _, a := range member.acts[n:] {
 		if a.kind == "tell" {
-			owner.Peer(102.3, m, a.data)
+			owner.Peer(104.3, m, a.data)
 		}
 	}
 	c := owner.custs[uint32(hashOf("c-basic"))&keyMask]
@@ -505,3 +506,13 @@
 		t.Fatal("no room was left to the dear request")
 	}
 }
+
+// A young count believes the room that a member hands back, even where its window has just turned.
+func TestYoungCountTakesTheRoomHandedBack(t *testing.T) {
+	g, _ := gateway(t, nil)
+	report := record{Key: 5, Known: true, Window: 26, Total: 0, Room: 1}
+	g.Peer(104, 1, appendRecord(appendHeader(nil, 1, 1), report))
+	if room := g.ledger(g.custs[5]).room; room > 1 {
+		t.Fatalf("room is %v after a member handed back 1", room)
+	}
+}
