--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -118,15 +118,15 @@
 	if err != nil {
 		return err
 	}
-	call, err := deliver(h, i)
-	if err != nil || call == nil {
-		return err
-	}
 	defer func() {
 		if p := recover(); p != nil {
 			h.out.Begin("FAULT", i).Str("msg", fmt.Sprint(p)).End()
 		}
 	}()
+	call, err := deliver(h, i)
+	if err != nil || call == nil {
+		return err
+	}
 	if g := h.gates[i]; g != nil {
 		call(g)
 	}
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	"cometpond/policy"
 )
 
 const settingsText = `{"balancers":2,"me":%d,"limits":{"maxAttempts":3,"peerMessages":true},"familyInfo":{"peerIntake":40},` +
@@ -108,3 +110,14 @@
 		t.Fatalf("instance 0 acts otherwise beside another: %d and %d actions", len(a), len(b))
 	}
 }
+
+func TestPanicBecomesFault(t *testing.T) {
+	events["BOOM"] = func(*host, int) (func(*policy.Gateway), error) {
+		return func(*policy.Gateway) { panic("broken\tmodule") }, nil
+	}
+	defer delete(events, "BOOM")
+	out, err := play(t, start(0)+"CLOCK\ttimeS=11\nBOOM\ti=0\nYOUR_TURN\n")
+	if err != nil || !strings.Contains(out, "FAULT\ti=0\tmsg=broken module\nNEXT\n") {
+		t.Fatalf("want a FAULT with the text, got %v\n%s", err, out)
+	}
+}
