Module: requests for units alone, and a home zone for keyed ones

Need: the ingress answers questions for limits from the same count as work, and must lead a repeated submission to the room that may remember it. Change: Request.Limit ends in the new action Admit after owner, split, wait and fall-back, and keeps what it took; Request.Home bars all other zones; Room reads what is left.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -52,6 +52,9 @@
 
 func (a actions) Fail(id string) { a.w.Begin("ERROR", a.i).ID("id", id).End() }
 
+// Admit answers a request that the bench never makes.
+func (a actions) Admit(string) {}
+
 func (a actions) Cancel(id string, attempt int) {
 	a.w.Begin("STOP_ATTEMPT", a.i).ID("id", id).Int("hop", int64(attempt)).End()
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -102,6 +102,8 @@
 	First, Entries            int     // the customer's gateways: Entries in a row from First
 	Units                     float64
 	Retry                     bool
+	Limit                     bool   // asks for the units alone: ends in Admit or Refuse, never in Send
+	Home                      string // zone that a keyed request is kept to, "" for any
 }
 
 // Status is the way an attempt or a probe ended.
@@ -152,6 +154,7 @@
 	Send(id, server string, timeoutS float64) // starts the request's next attempt
 	Refuse(id string, retryInS float64)       // final answer: trying again is harmless
 	Fail(id string)                           // final answer: promises nothing
+	Admit(id string)                          // final answer to a Limit request: its units are taken
 	Cancel(id string, attempt int)
 	SetTimer(token uint64, delayS float64)
 	Probe(server string)
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -19,6 +19,7 @@
 }
 func (in *ingress) Refuse(id string, retryInS float64)    { fmt.Printf("%s: refuse %s\n", in.name, id) }
 func (in *ingress) Fail(id string)                        { fmt.Printf("%s: fail %s\n", in.name, id) }
+func (in *ingress) Admit(id string)                       { fmt.Printf("%s: admit %s\n", in.name, id) }
 func (in *ingress) Cancel(id string, attempt int)         {}
 func (in *ingress) SetTimer(token uint64, delayS float64) {}
 func (in *ingress) Probe(server string)                   {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -164,9 +164,14 @@
 	return c.times[c.usual] > patienceMin && max(bin-c.usual, c.usual-bin) > 1
 }
 
-// place sends the request on, or queues it when no server has room.
+// place sends the request on, or queues it when no server has room. One that asks for units alone
+// ends here, and what it took stays taken.
 func (g *Gateway) place(r *request) {
-	if !g.mayRetry(r) {
+	if r.Limit {
+		r.taken = false
+		g.act.Admit(r.ID)
+		g.over(r)
+	} else if !g.mayRetry(r) {
 		g.refuse(r)
 	} else if s := g.choose(r); s != nil {
 		g.send(r, s)
@@ -719,7 +724,8 @@
 		s := g.order[(from+k)%n]
 		if s.State != Up || g.now < s.downUntil || !g.coldRoom(s, r.cls.lat) ||
 			float64(s.inflight) >= math.Ceil(partWeight*g.limit/float64(n)/s.speed) ||
-			r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) {
+			r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) ||
+			r.Home != "" && r.Home != s.Zone {
 			continue
 		}
 		// What the others have there is unseen: the best guess is that each sends as this one does.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -23,7 +23,8 @@
 func (r *recorder) Refuse(id string, x float64) {
 	r.acts = append(r.acts, out{kind: "refuse", id: id, x: x})
 }
-func (r *recorder) Fail(id string) { r.acts = append(r.acts, out{kind: "fail", id: id}) }
+func (r *recorder) Fail(id string)  { r.acts = append(r.acts, out{kind: "fail", id: id}) }
+func (r *recorder) Admit(id string) { r.acts = append(r.acts, out{kind: "admit", id: id}) }
 func (r *recorder) Cancel(id string, n int) {
 	r.acts = append(r.acts, out{kind: "cancel", id: id, attempt: n})
 }
@@ -774,3 +775,65 @@
 		t.Fatalf("room is %v after a member handed back 1", room)
 	}
 }
+
+// A request for units alone is decided by the same count as work, takes from the same quota, keeps what
+// it took and never reaches a server.
+func TestLimitTakesFromTheQuotaOfWork(t *testing.T) {
+	g, r := gateway(t, func(s *Settings) { s.Gateways, s.Peers = 1, false })
+	for i := range 3 {
+		g.Request(100, Request{ID: fmt.Sprint("l", i), Class: "pay", Plan: "basic", Customer: "ada", DeadlineS: 102,
+			Units: 3, Limit: true})
+	}
+	if len(r.of("admit", "")) != 2 || len(r.of("refuse", "l2")) != 1 || len(r.of("send", "")) != 0 {
+		t.Fatalf("two of three should be admitted, none sent: %+v", r.acts)
+	}
+	if room, ok := g.Room(100, "ada"); !ok || room != 2 {
+		t.Fatalf("room %v %v, want 2: what was admitted stays taken", room, ok)
+	}
+	g.Request(100, Request{ID: "w", Class: "pay", Plan: "basic", Customer: "ada", DeadlineS: 102, Units: 2})
+	g.Request(100, Request{ID: "l3", Class: "pay", Plan: "basic", Customer: "ada", DeadlineS: 102, Units: 1, Limit: true})
+	if len(r.of("send", "w")) != 1 || len(r.of("refuse", "l3")) != 1 {
+		t.Fatalf("work and limits should share a quota: %+v", r.acts)
+	}
+	if _, ok := g.Room(100, "eve"); ok {
+		t.Fatal("room of a customer never seen")
+	}
+}
+
+// A member that can't judge a request for units asks the owner as for work, and falls back when it is silent.
+func TestLimitWaitsForTheOwner(t *testing.T) {
+	g, r := gateway(t, nil)
+	name := ""
+	for i := 0; name == ""; i++ {
+		if c := g.customer(Request{Customer: fmt.Sprint("c", i), Plan: "basic", Entries: 2}); c.prime == 1 {
+			name = fmt.Sprint("c", i)
+		}
+	}
+	g.Request(100, Request{ID: "l", Class: "read", Plan: "basic", Customer: name, DeadlineS: 102, Entries: 2, Units: 5, Limit: true})
+	if len(r.of("tell", "")) != 1 || len(r.of("admit", "l")) != 0 {
+		t.Fatalf("the owner should be asked first: %+v", r.acts)
+	}
+	for x := 100.0; x < 101; x += 0.02 {
+		g.Timer(x, 1)
+	}
+	if len(r.of("admit", "l"))+len(r.of("refuse", "l")) != 1 {
+		t.Fatalf("one answer after the owner's silence: %+v", r.acts)
+	}
+}
+
+// A keyed request with a home goes nowhere else, whatever is free there.
+func TestHomeZoneIsKept(t *testing.T) {
+	g, r := gateway(t, nil)
+	for i := range 20 {
+		g.Request(100, Request{ID: fmt.Sprint("k", i), Class: "put", Plan: "wide", Customer: "ada", DeadlineS: 104,
+			Units: 1, Entries: 1, Home: "b"})
+	}
+	if len(r.of("send", "")) == 0 {
+		t.Fatal("nothing was sent")
+	}
+	for _, a := range r.of("send", "") {
+		if a.server != "s3" {
+			t.Fatalf("sent to %s, outside the home zone", a.server)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -405,6 +405,19 @@
 	g.now = now
 }
 
+// Room tells what this gateway knows to be left of a customer's quota, in units, below 0 where more
+// was counted than it holds; false for a customer of whom it knows nothing.
+func (g *Gateway) Room(now float64, customer string) (float64, bool) {
+	g.clock(now)
+	c := g.custs[uint32(hashOf(customer)>>32)]
+	if c == nil {
+		return 0, false
+	} else if g.owner(c) == g.s.Me {
+		return g.ledger(c).room, true
+	}
+	return g.roomNow(c), true
+}
+
 // customer finds or makes what is kept of a customer.
 func (g *Gateway) customer(q Request) *customer {
 	h := hashOf(q.Customer)
