--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,461 @@
+// Package config reads the settings of an instance from a file of S-expressions and checks them. What is
+// wrong is told with file, line and field, and with what would be right. The file holds facts and wishes
+// of the operator (addresses, plans, classes, the figures of the rules); no tuned value of a decision.
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"cometpond/policy"
+)
+
+// Bounds that the messages between instances set (policy/message.go, version 2).
+const (
+	mostUnits = 60
+	mostBurst = 8000
+	mostRate  = 16000
+	mostPlans = 15
+)
+
+// Config is a whole settings file. Times are in the units that the fields say.
+type Config struct {
+	Me        int    // this instance's number
+	Zone      string // this instance's room
+	Listen    string // address for RESP clients
+	Loops     int    // event loops of the front, 0: by the machine
+	Instances []Instance
+	PeerKey   []byte // 32 bytes that all instances share, nil with one instance
+
+	Boxes     []policy.Server // the list of boxes, where it stands in the file
+	Discovery *Discovery      // or where it is pushed from
+
+	Classes  []policy.Class
+	Plans    []policy.Plan
+	Commands []Command
+	Throttle int // index of the class that CL.THROTTLE is asked in
+	Clients  []Client
+
+	Rules   Rules
+	Front   Front
+	Backend Backend
+	Drain   time.Duration // after SIGTERM, for what is in flight
+}
+
+// Instance is one gateway of the fleet.
+type Instance struct {
+	Number int
+	Peer   string // UDP address for messages between instances
+}
+
+// Discovery is where the list of boxes is pushed from.
+type Discovery struct {
+	Servers []string // host:port of EDS servers, in order of preference
+	Cluster string
+	Keep    string // path of the last list on disk, "" to keep none
+}
+
+// Command maps a command of clients to a class.
+type Command struct {
+	Name    string // in upper case
+	Class   int
+	Arity   int // words with the name; below 0: at least so many
+	Units   int // units that one counts, where UnitsAt is 0
+	UnitsAt int // the word that holds the units, 0: none
+	KeyAt   int // the word that holds the submission key, 0: none
+}
+
+// Client is a customer that may come in.
+type Client struct {
+	Name   string
+	Plan   int
+	Secret [sha256.Size]byte // hash of the secret
+}
+
+// Rules are the figures of the five rules, in seconds where they are times.
+type Rules struct {
+	AnswerSlackS, ColdFrom, ColdS, FallMultiple, FallS float64
+}
+
+// Front bounds what clients may take up.
+type Front struct {
+	Connections int           // open at once
+	Bulk        int           // bytes of one argument
+	Pipeline    int           // commands of one connection under way
+	Output      int           // bytes that a client leaves unread
+	Partial     time.Duration // for a command to come in whole, and to authenticate
+}
+
+// Backend is how boxes are reached.
+type Backend struct {
+	Connections int           // to one box at once
+	Pipeline    int           // attempts on one of them at once
+	Connect     time.Duration // until a connection stands
+	Load        string        // "probe", "answer" or "none"
+	Attempts    int           // of one request at most
+	Parallel    bool          // two of them at once, where the class allows it
+}
+
+// Load reads and checks a file. The error names file, line and field.
+func Load(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, string(text))
+}
+
+// Parse is Load for a text; path is used in errors.
+func Parse(path, text string) (*Config, error) {
+	f, err := parser.ParseString(path, text)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c := &Config{Drain: 10 * time.Second, Throttle: -1,
+		Rules: Rules{AnswerSlackS: 0.01, ColdFrom: 0.2, ColdS: 15, FallMultiple: 2, FallS: 1.5},
+		Front: Front{Connections: 20000, Bulk: 512 << 10, Pipeline: 4096, Output: 4 << 20, Partial: 10 * time.Second},
+		Backend: Backend{Connections: 16, Pipeline: 8, Connect: 250 * time.Millisecond, Load: "probe", Attempts: 3,
+			Parallel: true},
+	}
+	r := &reader{}
+	c.read(r, f)
+	if r.err != nil {
+		return nil, fmt.Errorf("settings: %w", r.err)
+	}
+	return c, nil
+}
+
+// read takes in the file: what other parts refer to by name comes first, wherever it stands.
+func (c *Config) read(r *reader, f *file) {
+	order := []string{"ingress", "instances", "classes", "plans", "rules", "front", "backend", "boxes", "discovery",
+		"commands", "clients"}
+	top := &node{}
+	if len(f.Forms) > 0 {
+		top = f.Forms[0]
+	}
+	var known []field
+	found := map[string]*node{}
+	for _, name := range order {
+		known = append(known, field{name, name == "ingress" || name == "classes" || name == "plans", false,
+			func(_ *reader, n *node) { found[name] = n }})
+	}
+	r.fields(top, "file", f.Forms, known)
+	for _, name := range order {
+		if n := found[name]; n != nil && r.err == nil {
+			c.section(r, name, n)
+		}
+	}
+	if r.err == nil {
+		c.whole(r, found)
+	}
+}
+
+func (c *Config) section(r *reader, name string, n *node) {
+	switch name {
+	case "ingress":
+		r.fields(n, name, n.args(), []field{
+			intField("me", true, &c.Me, 0, 1023), textField("zone", true, &c.Zone), addressField("listen", true, &c.Listen),
+			intField("loops", false, &c.Loops, 1, 64), timeField("drain", false, &c.Drain, 0, 5*time.Minute)})
+	case "instances":
+		r.fields(n, name, n.args(), []field{{"instance", true, true, c.instance}, {"key", false, false, c.peerKey}})
+	case "classes":
+		r.fields(n, name, n.args(), []field{{"class", true, true, c.class}})
+	case "plans":
+		r.fields(n, name, n.args(), []field{{"plan", true, true, c.plan}})
+	case "rules":
+		r.fields(n, name, n.args(), []field{
+			secondsField("answer-slack", false, &c.Rules.AnswerSlackS, 0, time.Second),
+			numField("cold-from", false, &c.Rules.ColdFrom, 0, 1), secondsField("cold", false, &c.Rules.ColdS, 0, time.Hour),
+			numField("fall-multiple", false, &c.Rules.FallMultiple, 1, 100),
+			secondsField("fall", false, &c.Rules.FallS, 0, time.Minute)})
+	case "front":
+		r.fields(n, name, n.args(), []field{
+			intField("connections", false, &c.Front.Connections, 1, 1<<20), intField("bulk", false, &c.Front.Bulk, 64, 64<<20),
+			intField("pipeline", false, &c.Front.Pipeline, 1, 1<<16), intField("output", false, &c.Front.Output, 1<<10, 1<<30),
+			timeField("partial", false, &c.Front.Partial, 100*time.Millisecond, time.Hour)})
+	case "backend":
+		loads := []string{"probe", "answer", "none"}
+		yes := 1
+		r.fields(n, name, n.args(), []field{
+			intField("connections", false, &c.Backend.Connections, 1, 1024), intField("pipeline", false, &c.Backend.Pipeline, 1, 1024),
+			timeField("connect", false, &c.Backend.Connect, time.Millisecond, time.Minute),
+			choiceField("load", false, &c.Backend.Load, loads, loads),
+			intField("attempts", false, &c.Backend.Attempts, 1, 16),
+			choiceField("parallel", false, &yes, []string{"yes", "no"}, []int{1, 0})})
+		c.Backend.Parallel = yes == 1
+	case "boxes":
+		r.fields(n, name, n.args(), []field{{"box", true, true, c.box}})
+	case "discovery":
+		d := &Discovery{}
+		r.fields(n, name, n.args(), []field{{"server", true, true, func(r *reader, n *node) {
+			d.Servers = append(d.Servers, r.address(r.one(n, "ADDRESS"), "server"))
+		}}, textField("cluster", true, &d.Cluster), textField("keep", false, &d.Keep)})
+		c.Discovery = d
+	case "commands":
+		r.fields(n, name, n.args(), []field{{"command", false, true, c.command}, {"throttle", false, false,
+			func(r *reader, n *node) {
+				r.fields(n, "throttle", n.args(), []field{{"class", true, false, func(r *reader, n *node) {
+					c.Throttle = c.classOf(r, r.one(n, "CLASS"))
+				}}})
+			}}})
+	case "clients":
+		r.fields(n, name, n.args(), []field{{"client", true, true, c.client()}})
+	}
+}
+
+// named reads the name that a list begins with and returns it with the rest.
+func (r *reader) named(n *node) (string, []*node) {
+	if len(n.args()) == 0 {
+		r.fail(n, n.head(), "holds nothing, want (%s NAME ..)", n.head())
+		return "", nil
+	}
+	return r.name(n.args()[0], n.head()), n.args()[1:]
+}
+
+func (r *reader) address(n *node, field string) string {
+	a := r.name(n, field)
+	if host, port, err := net.SplitHostPort(a); err != nil || port == "" || host == "" {
+		r.fail(n, field, "%s is no address, want host:port, as \"127.0.0.1:7379\"", n)
+	}
+	return a
+}
+
+func addressField(name string, required bool, to *string) field {
+	return field{name, required, false, func(r *reader, n *node) { *to = r.address(r.one(n, "ADDRESS"), name) }}
+}
+
+func (c *Config) instance(r *reader, n *node) {
+	a := n.args()
+	if len(a) != 2 {
+		r.fail(n, "instance", "holds %d values, want (instance NUMBER PEER-ADDRESS)", len(a))
+		return
+	}
+	i := Instance{r.whole(a[0], "instance", 0, 1023), r.address(a[1], "instance")}
+	if i.Number != len(c.Instances) {
+		r.fail(a[0], "instance", "number %d, want %d: instances are numbered from 0, in order", i.Number, len(c.Instances))
+	}
+	c.Instances = append(c.Instances, i)
+}
+
+func (c *Config) peerKey(r *reader, n *node) {
+	a := r.one(n, "HEX")
+	key, err := hex.DecodeString(strings.TrimSpace(r.name(a, "key")))
+	if r.err == nil && (err != nil || len(key) != 32) {
+		r.fail(a, "key", "want 64 hex digits, as `openssl rand -hex 32` prints them")
+	}
+	c.PeerKey = key
+}
+
+func (c *Config) class(r *reader, n *node) {
+	k := policy.Class{Worth: 1}
+	name, rest := r.named(n)
+	k.Name = name
+	r.fields(n, "class "+name, rest, []field{
+		secondsField("aim", true, &k.AimS, time.Millisecond, time.Hour),
+		secondsField("deadline", true, &k.DeadlineS, time.Millisecond, time.Hour),
+		numField("worth", false, &k.Worth, 0, 1e6), numField("late-worth", false, &k.LateWorth, 0, 1),
+		choiceField("effect", true, &k.Effect, []string{"safe", "keyed", "unsafe"},
+			[]policy.Effect{policy.Safe, policy.Keyed, policy.Unsafe}),
+		choiceField("key-scope", false, &k.KeyScope, []string{"all", "zone", "cell"},
+			[]policy.Scope{policy.ScopeAll, policy.ScopeZone, policy.ScopeCell}),
+		secondsField("key-ttl", false, &k.KeyTTLS, 0, time.Hour)})
+	if k.AimS > k.DeadlineS {
+		r.fail(n, "class "+name+" aim", "is after the deadline, want it no later")
+	}
+	if (k.Effect == policy.Keyed) != (k.KeyTTLS > 0) {
+		r.fail(n, "class "+name+" key-ttl", "goes with (effect keyed), want both or neither")
+	}
+	for _, o := range c.Classes {
+		if o.Name == name {
+			r.fail(n, "class "+name, "given twice, want one class a name")
+		}
+	}
+	c.Classes = append(c.Classes, k)
+}
+
+func (c *Config) plan(r *reader, n *node) {
+	p := policy.Plan{Price: 1, ExcessCost: 1}
+	name, rest := r.named(n)
+	p.Name = name
+	where := "plan " + name
+	r.fields(n, where, rest, []field{
+		numField("rate", false, &p.Rate, 0.001, mostRate), numField("burst", false, &p.Burst, 1, mostBurst),
+		intField("parallel", false, &p.Parallel, 1, 65000), numField("price", false, &p.Price, 0, 1e6),
+		numField("excess-cost", false, &p.ExcessCost, 0, 100), numField("extra-worth", false, &p.ExtraWorth, 0, 1),
+		{"ceiling", false, false, func(r *reader, n *node) {
+			r.fields(n, where+" ceiling", n.args(), []field{numField("rate", true, &p.CeilingRate, 0.001, mostRate),
+				numField("burst", true, &p.CeilingBurst, 1, mostBurst), numField("slack", false, &p.CeilingSlack, 0, mostBurst)})
+		}}})
+	if p.Rate > 0 && p.Burst == 0 || p.Rate == 0 && p.Burst > 0 {
+		r.fail(n, where, "want (rate ..) and (burst ..) together, or neither")
+	}
+	if p.CeilingRate > 0 && p.CeilingRate < p.Rate {
+		r.fail(n, where+" ceiling", "rate %g is below the plan's %g, want it no less", p.CeilingRate, p.Rate)
+	}
+	if len(c.Plans) == mostPlans {
+		r.fail(n, where, "is one too many, want %d plans at most", mostPlans)
+	}
+	for _, o := range c.Plans {
+		if o.Name == name {
+			r.fail(n, where, "given twice, want one plan a name")
+		}
+	}
+	c.Plans = append(c.Plans, p)
+}
+
+func (c *Config) box(r *reader, n *node) {
+	s := policy.Server{Weight: 1}
+	if len(n.args()) == 0 {
+		r.fail(n, "box", "holds nothing, want (box ADDRESS (zone NAME) ..)")
+		return
+	}
+	s.ID = r.address(n.args()[0], "box")
+	where := "box " + s.ID
+	r.fields(n, where, n.args()[1:], []field{textField("zone", true, &s.Zone), intField("cell", false, &s.Cell, 0, 1<<20),
+		numField("weight", false, &s.Weight, 0.001, 1e6),
+		choiceField("state", false, &s.State, []string{"up", "draining"}, []policy.State{policy.Up, policy.Draining})})
+	for _, o := range c.Boxes {
+		if o.ID == s.ID {
+			r.fail(n, where, "given twice, want each address once")
+		}
+	}
+	c.Boxes = append(c.Boxes, s)
+}
+
+func (c *Config) classOf(r *reader, n *node) int {
+	name := r.name(n, "class")
+	var names []string
+	for i, k := range c.Classes {
+		if k.Name == name {
+			return i
+		}
+		names = append(names, k.Name)
+	}
+	r.fail(n, "class", "%s is not among the classes, want %s", n, strings.Join(names, " or "))
+	return 0
+}
+
+func (c *Config) command(r *reader, n *node) {
+	k := Command{Units: 1, Class: -1}
+	name, rest := r.named(n)
+	k.Name = strings.ToUpper(name)
+	where := "command " + name
+	r.fields(n, where, rest, []field{
+		{"class", true, false, func(r *reader, n *node) { k.Class = c.classOf(r, r.one(n, "CLASS")) }},
+		intField("arity", true, &k.Arity, -64, 64), intField("units", false, &k.Units, 1, mostUnits),
+		intField("units-at", false, &k.UnitsAt, 1, 63), intField("key-at", false, &k.KeyAt, 1, 63)})
+	least := max(k.Arity, -k.Arity)
+	switch {
+	case r.err != nil:
+	case least == 0:
+		r.fail(n, where+" arity", "is 0, want the number of words with the name, or less than 0 for at least so many")
+	case k.UnitsAt >= least || k.KeyAt >= least:
+		r.fail(n, where, "units-at and key-at must name a word that always comes, want below %d", least)
+	case (c.Classes[k.Class].Effect == policy.Keyed) != (k.KeyAt > 0):
+		r.fail(n, where+" key-at", "goes with a class of (effect keyed), want both or neither")
+	}
+	for _, o := range c.Commands {
+		if o.Name == k.Name {
+			r.fail(n, where, "given twice, want each name once")
+		}
+	}
+	c.Commands = append(c.Commands, k)
+}
+
+// client returns the reader of clients, which finds names that come twice.
+func (c *Config) client() func(r *reader, n *node) {
+	seen := map[string]bool{}
+	return func(r *reader, n *node) {
+		k := Client{Plan: -1}
+		name, rest := r.named(n)
+		k.Name = name
+		where := "client " + name
+		r.fields(n, where, rest, []field{
+			{"plan", true, false, func(r *reader, n *node) { k.Plan = c.planOf(r, r.one(n, "PLAN")) }},
+			{"secret-sha256", true, false, func(r *reader, n *node) {
+				a := r.one(n, "HEX")
+				sum, err := hex.DecodeString(r.name(a, "secret-sha256"))
+				if r.err == nil && (err != nil || len(sum) != sha256.Size) {
+					r.fail(a, "secret-sha256", "want 64 hex digits, as `cometpond secret` prints them")
+				}
+				copy(k.Secret[:], sum)
+			}}})
+		if seen[name] {
+			r.fail(n, where, "given twice, want each name once")
+		}
+		if strings.ContainsAny(name, " \t\r\n") {
+			r.fail(n, where, "holds white space, want a name without")
+		}
+		seen[name] = true
+		c.Clients = append(c.Clients, k)
+	}
+}
+
+func (c *Config) planOf(r *reader, n *node) int {
+	name := r.name(n, "plan")
+	var names []string
+	for i, p := range c.Plans {
+		if p.Name == name {
+			return i
+		}
+		names = append(names, p.Name)
+	}
+	r.fail(n, "plan", "%s is not among the plans, want %s", n, strings.Join(names, " or "))
+	return 0
+}
+
+// whole checks what several sections say together.
+func (c *Config) whole(r *reader, found map[string]*node) {
+	n := found["ingress"]
+	if c.Boxes == nil && c.Discovery == nil {
+		r.fail(n, "file", "no boxes, want (boxes ..) or (discovery ..)")
+	}
+	if c.Boxes != nil && c.Discovery != nil {
+		r.fail(found["boxes"], "boxes", "stands beside (discovery ..), want one of them")
+	}
+	if len(c.Instances) == 0 && c.Me != 0 || len(c.Instances) > 0 && c.Me >= len(c.Instances) {
+		r.fail(n, "ingress me", "is %d, want the number of one of the %d instances", c.Me, max(1, len(c.Instances)))
+	}
+	if len(c.Instances) > 1 && c.PeerKey == nil {
+		r.fail(found["instances"], "instances", "(key ..) is missing: several instances share one to seal their messages")
+	}
+	if c.Throttle < 0 { // the class worth most: nobody's dearer work is kept from limits
+		c.Throttle = 0
+		for i, k := range c.Classes {
+			if k.Worth > c.Classes[c.Throttle].Worth {
+				c.Throttle = i
+			}
+		}
+	}
+}
+
+// Settings are those of the decision module, for this instance.
+func (c *Config) Settings() policy.Settings {
+	units := 1
+	for _, k := range c.Commands {
+		units = max(units, k.Units)
+		if k.UnitsAt > 0 {
+			units = mostUnits
+		}
+	}
+	n := max(1, len(c.Instances))
+	return policy.Settings{
+		Me: c.Me, Gateways: n, Zone: c.Zone, Classes: c.Classes, Plans: c.Plans, MaxUnits: units,
+		PeerIntake: 0, Peers: n > 1, Probes: true, Cancel: true, Parallel: c.Backend.Parallel, RetryAfter: true,
+		MaxAttempts: c.Backend.Attempts, MaxRetryAfterS: 0.5,
+		ReportByProbe: c.Backend.Load == "probe", ReportByAnswer: c.Backend.Load == "answer",
+		AnswerSlackS: c.Rules.AnswerSlackS, ColdFrom: c.Rules.ColdFrom, ColdS: c.Rules.ColdS,
+		FallMultiple: c.Rules.FallMultiple, FallS: c.Rules.FallS, TickS: 0.0005,
+	}
+}
+
+// MostUnits is the most units of one request (1 to it), as the messages between instances bear them.
+func (c *Config) MostUnits() int { return mostUnits }
+
+// HashSecret is how a client's secret stands in the file.
+func HashSecret(secret string) [sha256.Size]byte { return sha256.Sum256([]byte(secret)) }
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,141 @@
+package resp
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func parse(s string, lim Limits) (string, int, error) {
+	args, n, _, err := Command([]byte(s), nil, lim)
+	var words []string
+	for _, a := range args {
+		words = append(words, fmt.Sprintf("%q", a))
+	}
+	return strings.Join(words, " "), n, err
+}
+
+func TestCommand(t *testing.T) {
+	lim := Limits{Bulk: 20, Args: 3, Inline: 40, Depth: 2}
+	for _, c := range []struct {
+		in, want string
+		n        int
+		err      string
+	}{
+		{"*2\r\n$4\r\nECHO\r\n$2\r\nhi\r\nrest", `"ECHO" "hi"`, 22, ""},
+		{"*1\r\n$0\r\n\r\n", `""`, 10, ""},
+		{"*0\r\n", "", 4, ""},
+		{"*-1\r\n", "", 5, ""},
+		{"\r\n", "", 2, ""},
+		{"PING\r\n", `"PING"`, 6, ""},
+		{"PING\n", `"PING"`, 5, ""},
+		{"ECHO \"a b\\n\" 'c\\'d'\r\n", `"ECHO" "a b\n" "c'd"`, 21, ""},
+		{"*2\r\n$4\r\nECHO\r\n", "", 0, "incomplete"},
+		{"*2\r\n$4\r\nEC", "", 0, "incomplete"},
+		{"PIN", "", 0, "incomplete"},
+		{"", "", 0, "incomplete"},
+		{"*4\r\n", "", 0, "invalid multibulk length"},
+		{"*x\r\n", "", 0, "invalid multibulk length"},
+		{"*1\r\n$21\r\n", "", 0, "invalid bulk length"}, // refused before its bytes come
+		{"*1\r\n$-1\r\n", "", 0, "invalid bulk length"},
+		{"*1\r\n$999999999999999999999\r\n", "", 0, "invalid bulk length"},
+		{"*1\r\n:1\r\n", "", 0, "expected '$', got ':'"},
+		{"*1\r\n$2\r\nhiXY", "", 0, "not ended by CRLF"},
+		{strings.Repeat("a", 50), "", 0, "too big inline request"},
+		{"a b c d\r\n", "", 0, "too many arguments"},
+		{"ECHO \"a\r\n", "", 0, "unbalanced quotes"},
+		{"ECHO \"a\"b\r\n", "", 0, "unbalanced quotes"},
+	} {
+		got, n, err := parse(c.in, lim)
+		if c.err != "" {
+			if err == nil || !strings.Contains(err.Error(), c.err) {
+				t.Errorf("%q: error %v, want %q", c.in, err, c.err)
+			}
+		} else if err != nil || got != c.want || n != c.n {
+			t.Errorf("%q: %s, %d, %v; want %s, %d", c.in, got, n, err, c.want, c.n)
+		}
+	}
+}
+
+// Whatever the cut, a command is whole only when all of it has come, and need never overshoots.
+func TestCommandInPieces(t *testing.T) {
+	whole := AppendCommand(nil, "SIGN.SUBMIT", "key-1", strings.Repeat("x", 300))
+	for i := range whole {
+		_, n, need, err := Command(whole[:i], nil, DefaultLimits)
+		if !errors.Is(err, ErrIncomplete) || n != 0 || need <= i || need > len(whole) {
+			t.Fatalf("cut at %d of %d: n %d, need %d, %v", i, len(whole), n, need, err)
+		}
+	}
+	if args, n, _, err := Command(whole, nil, DefaultLimits); err != nil || n != len(whole) || len(args) != 3 {
+		t.Fatalf("whole: %d of %d, %v", n, len(whole), err)
+	}
+}
+
+func TestReplyLength(t *testing.T) {
+	lim := Limits{Bulk: 20, Args: 8, Inline: 40, Depth: 3}
+	for _, s := range []string{"+OK\r\n", "-ERR x\r\n", ":12\r\n", "$-1\r\n", "$0\r\n\r\n", "$2\r\nhi\r\n", "*-1\r\n",
+		"*0\r\n", "*2\r\n:1\r\n*2\r\n+a\r\n$1\r\nb\r\n", "_\r\n", ",1.5\r\n", "#t\r\n", "%1\r\n+a\r\n~1\r\n:1\r\n",
+		"|1\r\n+util\r\n,0.5\r\n+OK\r\n", "=7\r\ntxt:abc\r\n", "!3\r\nERR\r\n", "(123\r\n", "|0\r\n+OK\r\n"} {
+		n, err := Reply([]byte(s+"+next\r\n"), lim)
+		if err != nil || n != len(s) {
+			t.Errorf("%q: %d, %v; want %d", s, n, err, len(s))
+		}
+		for i := range s {
+			if _, err := Reply([]byte(s[:i]), lim); !errors.Is(err, ErrIncomplete) {
+				t.Errorf("%q cut at %d: %v", s, i, err)
+			}
+		}
+	}
+	for in, want := range map[string]string{"$21\r\n": "bulk length", "*9\r\n": "too many elements",
+		"*1\r\n*1\r\n*1\r\n*1\r\n": "nested too deeply", "?\r\n": "unknown reply type", "\r\n": "empty line",
+		"%5\r\n": "too many elements", "$2\r\nhiXX": "not ended"} {
+		if _, err := Reply([]byte(in), lim); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", in, err, want)
+		}
+	}
+}
+
+func TestDowngrade(t *testing.T) {
+	for in, want := range map[string]string{
+		"+OK\r\n": "+OK\r\n", "_\r\n": "$-1\r\n", "#t\r\n": ":1\r\n", "#f\r\n": ":0\r\n", ",1.5\r\n": "$3\r\n1.5\r\n",
+		"%1\r\n+a\r\n~1\r\n_\r\n": "*2\r\n+a\r\n*1\r\n$-1\r\n", "=7\r\ntxt:abc\r\n": "$3\r\nabc\r\n",
+		"!5\r\nERR x\r\n": "-ERR x\r\n", "|1\r\n+load\r\n:1\r\n$1\r\na\r\n": "$1\r\na\r\n", "*-1\r\n": "*-1\r\n",
+	} {
+		if got := string(AppendDowngraded(nil, []byte(in), DefaultLimits)); got != want {
+			t.Errorf("%q: %q, want %q", in, got, want)
+		}
+	}
+}
+
+// FuzzCommand: no input makes the parser panic, take more than it was given, or read its own output otherwise.
+func FuzzCommand(f *testing.F) {
+	for _, s := range []string{"*2\r\n$4\r\nECHO\r\n$2\r\nhi\r\n", "PING\r\n", "ECHO 'a b' \"\\n\"\r\n", "*1\r\n$99999\r\n", "*-1\r\n", "\x00\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		lim := Limits{Bulk: 64, Args: 8, Inline: 64, Depth: 3}
+		args, n, need, err := Command(in, nil, lim)
+		if n > len(in) || err == nil && n == 0 || errors.Is(err, ErrIncomplete) && need <= len(in) {
+			t.Fatalf("%q: n %d, need %d, %v", in, n, need, err)
+		}
+		if err == nil && len(args) > 0 {
+			again, m, _, err := Command(AppendArgs(nil, args), nil, Limits{Bulk: 64, Args: 8, Inline: 64})
+			if err != nil || len(again) != len(args) || m == 0 {
+				t.Fatalf("%q: written and read again: %v, %d arguments of %d", in, err, len(again), len(args))
+			}
+		}
+		if m, err := Reply(in, lim); err == nil {
+			AppendDowngraded(nil, in[:m], lim)
+		}
+	})
+}
+
+func BenchmarkCommand(b *testing.B) {
+	buf := AppendCommand(nil, "CL.THROTTLE", "user:1", "15", "30", "60", "1")
+	var args [][]byte
+	b.SetBytes(int64(len(buf)))
+	for b.Loop() {
+		args, _, _, _ = Command(buf, args[:0], DefaultLimits)
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -102,8 +102,10 @@
 	First, Entries            int     // the customer's gateways: Entries in a row from First
 	Units                     float64
 	Retry                     bool
-	Limit                     bool   // asks for the units alone: ends in Admit or Refuse, never in Send
-	Home                      string // zone that a keyed request is kept to, "" for any
+	Limit                     bool    // asks for the units alone: ends in Admit or Refuse, never in Send
+	Home                      string  // server to whose group a keyed request is kept, "": any
+	Ran                       string  // server where an earlier request of the same key may have run,
+	RanAt                     float64 // sent there at this time; "": none
 }
 
 // Status is the way an attempt or a probe ended.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -122,7 +122,8 @@
 		g.act.Fail(q.ID)
 		return
 	}
-	r := &request{Request: q, cls: cls, plan: g.byPlan[q.Plan]}
+	r := &request{Request: q, cls: cls, plan: g.byPlan[q.Plan], home: g.servers[q.Home],
+		ran: g.servers[q.Ran], ranAt: q.RanAt}
 	r.aimAt = now + cls.AimS + cls.AimStretch*cls.lat
 	if cls.laterTry(q.DeadlineS - now) {
 		r.aimAt = min(r.aimAt, q.DeadlineS-cls.DeadlineS+cls.AimS+cls.AimStretch*cls.lat)
@@ -725,7 +726,7 @@
 		if s.State != Up || g.now < s.downUntil || !g.coldRoom(s, r.cls.lat) ||
 			float64(s.inflight) >= math.Ceil(partWeight*g.limit/float64(n)/s.speed) ||
 			r.ran != nil && r.cls.Effect == Keyed && !sameGroup(r.cls.KeyScope, r.ran, s) ||
-			r.Home != "" && r.Home != s.Zone {
+			r.home != nil && !sameGroup(r.cls.KeyScope, r.home, s) {
 			continue
 		}
 		// What the others have there is unseen: the best guess is that each sends as this one does.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -822,11 +822,11 @@
 }
 
 // A keyed request with a home goes nowhere else, whatever is free there.
-func TestHomeZoneIsKept(t *testing.T) {
+func TestHomeIsKept(t *testing.T) {
 	g, r := gateway(t, nil)
 	for i := range 20 {
 		g.Request(100, Request{ID: fmt.Sprint("k", i), Class: "put", Plan: "wide", Customer: "ada", DeadlineS: 104,
-			Units: 1, Entries: 1, Home: "b"})
+			Units: 1, Entries: 1, Home: "s3"})
 	}
 	if len(r.of("send", "")) == 0 {
 		t.Fatal("nothing was sent")
@@ -837,3 +837,28 @@
 		}
 	}
 }
+
+// A request whose key may have run before is kept to that group and its memory, and never refused as harmless.
+func TestEarlierRunOfAKey(t *testing.T) {
+	g, r := gateway(t, nil)
+	put := func(id string, ranAt float64) {
+		g.Request(g.now, Request{ID: id, Class: "put", Plan: "wide", Customer: "ada", DeadlineS: g.now + 4, Units: 1, Entries: 1,
+			Ran: "s3", RanAt: ranAt})
+	}
+	put("soon", 99.5)
+	if a := r.of("send", "soon"); len(a) != 1 || a[0].server != "s3" {
+		t.Fatalf("want one send to the zone of s3: %+v", r.acts)
+	}
+	put("late", 97.9) // the group has forgotten it
+	if len(r.of("send", "late")) != 0 || len(r.of("fail", "late")) != 1 {
+		t.Fatalf("want late failed unsent: %+v", r.acts)
+	}
+	g.Servers(100, []Server{{ID: "s3", Zone: "b", Cell: 3, State: Draining}}, false)
+	put("gone", 99.5)
+	for x := 100.0; x < 104.1; x += 0.02 {
+		g.Timer(x, 1)
+	}
+	if len(r.of("send", "gone")) != 0 || len(r.of("refuse", "gone")) != 0 || len(r.of("fail", "gone")) != 1 {
+		t.Fatalf("want gone failed, not refused: %+v", r.acts)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -113,6 +113,7 @@
 	aimAt    float64
 	attempts []attempt
 	out      int
+	home     *server // to whose group it is kept
 	ran      *server // first server where it may have run
 	ranAt    float64
 	over     bool
