--- /dev/null
+++ b/internal/core/loop.go
@@ -0,0 +1,374 @@
+// Package core owns the decisions of an instance. Machine is the state: the policy module, the table of
+// submission keys and the life of each request, with no I/O and no clock. Loop is the one goroutine that
+// drives it: it takes events in batches from bounded queues, reads the clock once a batch and hands on what
+// is to be done. It knows neither a protocol nor a socket; fronts, backends and peers are interfaces here.
+package core
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"cometpond/policy"
+)
+
+// Backend carries attempts to boxes. Its methods are called by the core's goroutine and must not block.
+// Each Send ends in one Loop.Done, unless it was cancelled; each Probe in one Loop.Probed.
+type Backend interface {
+	Send(a Attempt, box string, payload []byte)
+	Cancel(a Attempt, box string)
+	Probe(box string)
+	// Servers tells which boxes there are; connections to others are closed once they are idle.
+	Servers(list []policy.Server, whole bool)
+}
+
+// Peers carries messages to other instances, which may be lost. It must not block.
+type Peers interface {
+	Tell(instance int, data []byte)
+}
+
+// Bounds of the queues into the loop.
+const (
+	mostCalls = 1 << 14 // calls waiting; one more is refused at once
+	mostHeard = 1 << 12 // messages of other instances waiting; one more is dropped, as the network may
+	batchMost = 512     // calls between two readings of the clock
+	idleWait  = time.Hour
+)
+
+// Loop drives a Machine. Its methods may be called from any goroutine; none blocks.
+type Loop struct {
+	clock   Clock
+	machine *Machine
+	backend Backend
+	peers   Peers
+
+	mu       sync.Mutex
+	in       inbox
+	closed   bool
+	overfull uint64
+	dropped  uint64
+	counts   Counts
+	held     int
+	wake     chan struct{}
+
+	fronts []frontBatch
+	spare  inbox
+}
+
+type inbox struct {
+	calls   []*Call
+	gone    []*Call
+	results []Result
+	probes  []policy.ProbeResult
+	heard   []message
+	lists   []serverList
+	drain   bool
+	settle  bool
+	does    []func(*Machine)
+}
+
+type message struct {
+	from int
+	data []byte
+}
+
+type serverList struct {
+	list  []policy.Server
+	whole bool
+	taken chan<- struct{}
+}
+
+type frontBatch struct {
+	front   Front
+	answers []Answer
+}
+
+// Clock is a source of seconds that only goes forward.
+type Clock interface {
+	Now() float64
+}
+
+// wallClock counts monotonically from the wall clock at its start, so that instances share it to about as
+// far as their machines' clocks agree, and steps of the wall clock meanwhile do not matter.
+type wallClock struct {
+	base  float64
+	start time.Time
+}
+
+// NewClock returns a clock of seconds since 1970, taken once and counted on monotonically.
+func NewClock() Clock {
+	now := time.Now()
+	return wallClock{float64(now.UnixNano()) / 1e9, now}
+}
+
+func (c wallClock) Now() float64 { return c.base + time.Since(c.start).Seconds() }
+
+// NewLoop returns a loop that Run drives. Backend and peers may be set later, before Run, with Attach.
+func NewLoop(s policy.Settings, seed uint64, clock Clock) (*Loop, error) {
+	l := &Loop{clock: clock, wake: make(chan struct{}, 1)}
+	m, err := NewMachine(s, seed, clock.Now(), (*effects)(l))
+	if err != nil {
+		return nil, err
+	}
+	l.machine = m
+	return l, nil
+}
+
+// Attach sets what carries out attempts and messages. It must come before Run.
+func (l *Loop) Attach(b Backend, p Peers) { l.backend, l.peers = b, p }
+
+func (l *Loop) notify() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Submit hands calls in and returns how many were taken, the first ones; the queue has no room for the
+// rest, and the caller refuses them. After the loop's end it takes none.
+func (l *Loop) Submit(calls []*Call) int {
+	l.mu.Lock()
+	n := min(len(calls), mostCalls-len(l.in.calls))
+	if l.closed || n < 0 {
+		n = 0
+	}
+	l.in.calls = append(l.in.calls, calls[:n]...)
+	l.overfull += uint64(len(calls) - n)
+	l.mu.Unlock()
+	if n > 0 {
+		l.notify()
+	}
+	return n
+}
+
+// Gone tells that the client of a taken call will not read its answer.
+func (l *Loop) Gone(calls []*Call) {
+	l.mu.Lock()
+	l.in.gone = append(l.in.gone, calls...)
+	l.mu.Unlock()
+	l.notify()
+}
+
+// Done tells how attempts ended. The loop copies the slice.
+func (l *Loop) Done(results ...Result) {
+	l.mu.Lock()
+	l.in.results = append(l.in.results, results...)
+	l.mu.Unlock()
+	l.notify()
+}
+
+// Probed tells how a probe ended.
+func (l *Loop) Probed(p policy.ProbeResult) {
+	l.mu.Lock()
+	l.in.probes = append(l.in.probes, p)
+	l.mu.Unlock()
+	l.notify()
+}
+
+// Heard hands in a message of another instance; the loop keeps data. With too many waiting it is dropped.
+func (l *Loop) Heard(from int, data []byte) {
+	l.mu.Lock()
+	if len(l.in.heard) < mostHeard {
+		l.in.heard = append(l.in.heard, message{from, data})
+	} else {
+		l.dropped++
+	}
+	l.mu.Unlock()
+	l.notify()
+}
+
+// Servers hands in the list of boxes. The channel that it returns is closed once the list is in force.
+func (l *Loop) Servers(list []policy.Server, whole bool) <-chan struct{} {
+	taken := make(chan struct{})
+	l.mu.Lock()
+	l.in.lists = append(l.in.lists, serverList{list, whole, taken})
+	l.mu.Unlock()
+	l.notify()
+	return taken
+}
+
+// Do runs f on the loop's goroutine with the machine, and returns when it has run or ctx is over.
+func (l *Loop) Do(ctx context.Context, f func(*Machine)) error {
+	ran := make(chan struct{})
+	l.mu.Lock()
+	l.in.does = append(l.in.does, func(m *Machine) { f(m); close(ran) })
+	l.mu.Unlock()
+	l.notify()
+	select {
+	case <-ran:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Drain has later calls refused while those under way go on.
+func (l *Loop) Drain() {
+	l.mu.Lock()
+	l.in.drain = true
+	l.mu.Unlock()
+	l.notify()
+}
+
+// Settle ends what is under way at once.
+func (l *Loop) Settle() {
+	l.mu.Lock()
+	l.in.settle = true
+	l.mu.Unlock()
+	l.notify()
+}
+
+// Status is what the loop last counted.
+type Status struct {
+	Counts
+	Held    int    // requests under way
+	Waiting int    // calls not yet looked at
+	Dropped uint64 // messages of other instances for which the queue had no room
+}
+
+// Status returns the counts as of the last batch.
+func (l *Loop) Status() Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Status{Counts: l.counts, Held: l.held, Waiting: len(l.in.calls), Dropped: l.dropped}
+	s.Overfull += l.overfull
+	return s
+}
+
+// Run drives the machine until ctx is over, then settles what is left. It returns once every call that was
+// taken has its answer.
+func (l *Loop) Run(ctx context.Context) {
+	timer := time.NewTimer(idleWait)
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		l.in, l.spare = l.spare, l.in
+		l.counts, l.held = l.machine.Counts(), l.machine.Held()
+		l.mu.Unlock()
+		if ctx.Err() != nil {
+			break
+		}
+		if !l.batch(&l.spare) {
+			wait := idleWait
+			if next := l.machine.Next() - l.clock.Now(); !math.IsInf(next, 1) {
+				wait = time.Duration(max(next, 0) * 1e9)
+			}
+			timer.Reset(wait)
+			select {
+			case <-l.wake:
+			case <-timer.C:
+			case <-ctx.Done():
+			}
+		}
+	}
+	l.batch(&l.spare)
+	l.mu.Lock()
+	l.closed = true
+	rest := l.in
+	l.in = inbox{}
+	l.mu.Unlock()
+	l.batch(&rest)
+	l.machine.Settle(l.clock.Now())
+	l.flush()
+	l.mu.Lock()
+	l.counts, l.held = l.machine.Counts(), l.machine.Held()
+	l.mu.Unlock()
+}
+
+// batch takes in all that has come and carries out what is due; false if there was nothing.
+func (l *Loop) batch(in *inbox) bool {
+	m, now := l.machine, l.clock.Now()
+	some := len(in.calls)+len(in.gone)+len(in.results)+len(in.probes)+len(in.heard)+len(in.lists)+len(in.does) > 0 ||
+		in.drain || in.settle || m.Next() <= now
+	if !some {
+		return false
+	}
+	for _, s := range in.lists {
+		m.Servers(now, s.list, s.whole)
+		if l.backend != nil {
+			l.backend.Servers(s.list, s.whole)
+		}
+		close(s.taken)
+	}
+	for _, r := range in.results {
+		m.Result(now, r)
+	}
+	for _, p := range in.probes {
+		m.Probed(now, p)
+	}
+	for _, h := range in.heard {
+		m.Peer(now, h.from, h.data)
+	}
+	m.Tick(now)
+	if in.drain {
+		m.Drain()
+	}
+	for i, c := range in.calls {
+		if i > 0 && i%batchMost == 0 {
+			l.flush()
+			now = l.clock.Now()
+			m.Tick(now)
+		}
+		m.Take(now, c)
+	}
+	for _, c := range in.gone {
+		m.Gone(now, c)
+	}
+	if in.settle {
+		m.Settle(now)
+	}
+	for _, f := range in.does {
+		f(m)
+	}
+	l.flush()
+	in.reset()
+	return true
+}
+
+// reset empties an inbox and keeps its room, but nothing that it pointed to.
+func (in *inbox) reset() {
+	clear(in.calls)
+	clear(in.gone)
+	clear(in.results)
+	clear(in.heard)
+	clear(in.lists)
+	clear(in.does)
+	*in = inbox{calls: in.calls[:0], gone: in.gone[:0], results: in.results[:0], probes: in.probes[:0],
+		heard: in.heard[:0], lists: in.lists[:0], does: in.does[:0]}
+}
+
+// flush hands the answers of a batch to their fronts.
+func (l *Loop) flush() {
+	for i := range l.fronts {
+		f := &l.fronts[i]
+		if len(f.answers) > 0 {
+			f.front.Answer(f.answers)
+			clear(f.answers)
+			f.answers = f.answers[:0]
+		}
+	}
+}
+
+// effects is the Loop as its Machine sees it.
+type effects Loop
+
+func (l *effects) Send(a Attempt, box string, payload []byte) { l.backend.Send(a, box, payload) }
+func (l *effects) Cancel(a Attempt, box string)               { l.backend.Cancel(a, box) }
+func (l *effects) Probe(box string)                           { l.backend.Probe(box) }
+
+func (l *effects) Tell(instance int, data []byte) {
+	if l.peers != nil {
+		l.peers.Tell(instance, data)
+	}
+}
+
+func (l *effects) Answer(a Answer) {
+	for i := range l.fronts {
+		if l.fronts[i].front == a.Call.Front {
+			l.fronts[i].answers = append(l.fronts[i].answers, a)
+			return
+		}
+	}
+	l.fronts = append(l.fronts, frontBatch{a.Call.Front, []Answer{a}})
+}
--- /dev/null
+++ b/internal/core/machine_test.go
@@ -0,0 +1,386 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cometpond/policy"
+)
+
+func settings() policy.Settings {
+	return policy.Settings{
+		Me: 0, Gateways: 1, Zone: "room0", MaxUnits: 4, MaxAttempts: 3, MaxRetryAfterS: 0.5, AnswerSlackS: 0.01,
+		Cancel: true, Parallel: true, Probes: true, ReportByProbe: true,
+		ColdFrom: 0.2, ColdS: 10, FallMultiple: 3, FallS: 1,
+		Classes: []policy.Class{
+			{Name: "read", AimS: 1, DeadlineS: 2, Worth: 1, LateWorth: 0.2, Effect: policy.Safe},
+			{Name: "put", AimS: 1, DeadlineS: 4, Worth: 3, Effect: policy.Keyed, KeyScope: policy.ScopeZone, KeyTTLS: 2},
+			{Name: "pay", AimS: 1, DeadlineS: 4, Worth: 5, Effect: policy.Unsafe},
+		},
+		Plans: []policy.Plan{{Name: "basic", Rate: 10, Burst: 20, Price: 1, ExcessCost: 1},
+			{Name: "open", Price: 1}},
+	}
+}
+
+// world records what a machine wants done.
+type world struct {
+	sent      []sentTo
+	cancelled map[Attempt]bool
+	answers   map[*Call][]Answer
+	probes    []string
+}
+
+type sentTo struct {
+	a    Attempt
+	box  string
+	call *Call
+}
+
+func newWorld() *world { return &world{cancelled: map[Attempt]bool{}, answers: map[*Call][]Answer{}} }
+
+func (w *world) Send(a Attempt, box string, payload []byte) {
+	w.sent = append(w.sent, sentTo{a: a, box: box})
+}
+func (w *world) Cancel(a Attempt, box string) { w.cancelled[a] = true }
+func (w *world) Probe(box string)             { w.probes = append(w.probes, box) }
+func (w *world) Tell(int, []byte)             {}
+func (w *world) Answer(a Answer)              { w.answers[a.Call] = append(w.answers[a.Call], a) }
+
+func machine(t interface{ Fatal(...any) }, change func(*policy.Settings)) (*Machine, *world) {
+	w, s := newWorld(), settings()
+	if change != nil {
+		change(&s)
+	}
+	m, err := NewMachine(s, 7, 1000, w)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Servers(1000, boxes(0, 0, 0, 0), true)
+	return m, w
+}
+
+func boxes(states ...policy.State) (list []policy.Server) {
+	for i, s := range states {
+		list = append(list, policy.Server{ID: fmt.Sprint("box", i), Zone: fmt.Sprint("room", i/2), State: s, Weight: 1})
+	}
+	return list
+}
+
+// run lets time pass in steps as short as the module's own ticks.
+func run(m *Machine, from, to float64) {
+	for x := from; x <= to; x += 0.01 {
+		m.Tick(x)
+	}
+}
+
+func TestServedOnce(t *testing.T) {
+	m, w := machine(t, nil)
+	c := &Call{Client: "ada", Plan: "basic", Class: 0, Units: 1, Payload: []byte("x")}
+	m.Take(1000, c)
+	if len(w.sent) != 1 || m.Held() != 1 {
+		t.Fatalf("sent %v, held %d", w.sent, m.Held())
+	}
+	a := w.sent[0].a
+	m.Result(1000.1, Result{Attempt: a, Status: policy.OK, Payload: []byte("+OK\r\n")})
+	m.Result(1000.2, Result{Attempt: a, Status: policy.OK, Payload: []byte("+AGAIN\r\n")})
+	run(m, 1000.2, 1003)
+	if got := w.answers[c]; len(got) != 1 || got[0].Kind != Served || string(got[0].Payload) != "+OK\r\n" {
+		t.Fatalf("%+v", got)
+	}
+	if m.Held() != 0 || m.Counts().Late != 1 {
+		t.Fatalf("held %d, late %d", m.Held(), m.Counts().Late)
+	}
+}
+
+// An answer that comes for an attempt of an earlier request in the same slot reaches nobody.
+func TestLateAnswerMeetsNoOther(t *testing.T) {
+	m, w := machine(t, nil)
+	a := &Call{Client: "ada", Plan: "basic", Class: 0, Units: 1}
+	m.Take(1000, a)
+	old := w.sent[0].a
+	m.Gone(1000.1, a)
+	if !w.cancelled[old] || m.Held() != 0 {
+		t.Fatalf("a client gone should end its attempt: held %d", m.Held())
+	}
+	b := &Call{Client: "eve", Plan: "basic", Class: 0, Units: 1}
+	m.Take(1000.2, b)
+	if now := w.sent[len(w.sent)-1].a; now.Slot != old.Slot || now == old {
+		t.Fatalf("want the same slot under a new name: %v, %v", old, now)
+	}
+	m.Result(1000.3, Result{Attempt: old, Status: policy.OK, Payload: []byte("+ADA\r\n")})
+	if len(w.answers[a])+len(w.answers[b]) != 0 {
+		t.Fatalf("answers %v", w.answers)
+	}
+}
+
+func TestUnitsAlone(t *testing.T) {
+	m, w := machine(t, nil)
+	ask := func(units float64) Answer {
+		c := &Call{Client: "ada", Plan: "basic", Class: 2, Units: units, Limit: true}
+		m.Take(1000, c)
+		if len(w.answers[c]) != 1 {
+			t.Fatalf("%d answers", len(w.answers[c]))
+		}
+		return w.answers[c][0]
+	}
+	if a := ask(15); a.Kind != Admitted || a.Quota != (Quota{Burst: 20, Room: 5, RetryS: 1, ResetS: 1.5}) {
+		t.Fatalf("%+v", a)
+	}
+	if a := ask(15); a.Kind != Refused || a.Quota.Room != 5 || a.Quota.RetryS != 1 {
+		t.Fatalf("%+v", a)
+	}
+	if a := ask(0); a.Kind != Admitted || a.Quota.Room != 5 {
+		t.Fatalf("asking takes nothing: %+v", a)
+	}
+	c := &Call{Client: "ada", Plan: "open", Class: 0, Units: 1, Limit: true}
+	if m.Take(1000, c); w.answers[c][0].Kind != Admitted || len(w.sent) != 0 {
+		t.Fatalf("a plan without a rate admits all: %+v", w.answers[c])
+	}
+}
+
+func TestRepeatedKeyJoinsAndRepeats(t *testing.T) {
+	m, w := machine(t, nil)
+	put := func() *Call {
+		return &Call{Client: "ada", Plan: "open", Class: 1, Units: 1, Key: "k"}
+	}
+	a, b, c := put(), put(), put()
+	m.Take(1000, a)
+	m.Take(1000.1, b)
+	m.Gone(1000.15, a) // its client is gone; the other one still waits
+	m.Result(1000.2, Result{Attempt: w.sent[0].a, Status: policy.OK, Payload: []byte("+DONE\r\n")})
+	m.Take(1000.3, c)
+	if len(w.sent) != 1 || len(w.answers[a]) != 0 || len(w.answers[b]) != 1 || len(w.answers[c]) != 1 {
+		t.Fatalf("sent %d, answers %v", len(w.sent), w.answers)
+	}
+	if string(w.answers[c][0].Payload) != "+DONE\r\n" || m.Counts().Joined != 1 || m.Counts().Repeated != 1 {
+		t.Fatalf("%+v", w.answers[c])
+	}
+}
+
+// A stop whose time is up leaves nobody without an answer, and calls nothing harmless that may have run.
+func TestSettle(t *testing.T) {
+	m, w := machine(t, nil)
+	var calls []*Call
+	for i := range 3 {
+		c := &Call{Client: "ada", Plan: "open", Class: i, Units: 1, Key: "k"}
+		calls = append(calls, c)
+		m.Take(1000, c)
+	}
+	m.Drain()
+	late := &Call{Client: "ada", Plan: "open", Class: 0, Units: 1}
+	m.Take(1000.1, late)
+	m.Settle(1000.2)
+	for i, want := range []Kind{Refused, Failed, Failed} {
+		if a := w.answers[calls[i]]; len(a) != 1 || a[0].Kind != want {
+			t.Errorf("class %d: %+v, want kind %d", i, a, want)
+		}
+	}
+	if len(w.answers[late]) != 1 || w.answers[late][0].Kind != Refused || m.Held() != 0 {
+		t.Errorf("late %+v, held %d", w.answers[late], m.Held())
+	}
+}
+
+// Any order of events keeps the rules that a single instance can keep.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m, w := machine(t, func(s *policy.Settings) { s.Parallel = rapid.Bool().Draw(t, "parallel") })
+		now := 1000.0
+		type fate struct {
+			call    *Call
+			due     float64
+			gone    bool
+			sent    int
+			maybe   int // attempts that may have run, or are out
+			joined  bool
+			attempt map[Attempt]bool
+		}
+		var all []*fate
+		byAttempt := map[Attempt]*fate{}
+		drained := map[string]bool{}
+		open := map[Attempt]bool{}
+		seen := 0
+		check := func() {
+			for ; seen < len(w.sent); seen++ {
+				s := w.sent[seen]
+				var f *fate
+				for _, c := range all {
+					if c.call.slot == s.a.Slot+1 && c.call.gen == s.a.Gen && !c.joined {
+						f = c
+					}
+				}
+				if f == nil {
+					t.Fatal("a send for a request unknown")
+				}
+				if drained[s.box] {
+					t.Fatalf("a send to %s, which is drained", s.box)
+				}
+				if len(w.answers[f.call]) > 0 || f.gone && f.call.Class != 1 {
+					t.Fatal("a send after the final answer")
+				}
+				if f.call.Class == 2 && f.maybe > 0 {
+					t.Fatal("an unsafe request that may have run was sent again")
+				}
+				f.sent++
+				f.maybe++
+				if f.sent > 3 {
+					t.Fatal("more attempts than allowed")
+				}
+				byAttempt[s.a], open[s.a] = f, true
+			}
+			for _, f := range all {
+				as := w.answers[f.call]
+				if len(as) > 1 {
+					t.Fatalf("%d answers to one call", len(as))
+				}
+				if len(as) == 1 && as[0].Kind == Refused && f.call.Class > 0 && f.maybe > 0 && !f.joined {
+					t.Fatal("refused as harmless though it may have run")
+				}
+				if len(as) == 0 && !f.gone && now > f.due+0.03 {
+					t.Fatalf("no answer %g s after the deadline", now-f.due)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0, 1:
+				class := rapid.IntRange(0, 2).Draw(t, "class")
+				c := &Call{Client: fmt.Sprint("c", rapid.IntRange(0, 2).Draw(t, "client")), Plan: "basic", Class: class,
+					Units: 1, Key: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "key"))}
+				f := &fate{call: c, due: now + settings().Classes[class].DeadlineS, joined: true}
+				all = append(all, f)
+				held := m.Held()
+				m.Take(now, c)
+				f.joined = m.Held() == held && len(w.answers[c]) == 0
+				if len(w.answers[c]) == 1 && w.answers[c][0].Kind == Served {
+					f.joined = true // repeated
+				}
+				if f.joined && len(w.sent) > seen {
+					t.Fatal("a joined call was sent")
+				}
+			case 2, 3:
+				for a := range open {
+					if w.cancelled[a] {
+						delete(open, a)
+					}
+				}
+				if len(open) == 0 {
+					continue
+				}
+				var first Attempt
+				ok := false
+				for a := range open {
+					if !ok || a.Slot < first.Slot || a.Slot == first.Slot && (a.Gen < first.Gen || a.Gen == first.Gen && a.N < first.N) {
+						first, ok = a, true
+					}
+				}
+				delete(open, first)
+				st := rapid.SampledFrom([]policy.Status{policy.OK, policy.Error, policy.Full, policy.ConnectFailed, policy.Reset}).Draw(t, "status")
+				if st == policy.Full || st == policy.ConnectFailed {
+					byAttempt[first].maybe--
+				}
+				m.Result(now, Result{Attempt: first, Status: st, Payload: []byte("+OK\r\n")})
+			case 4:
+				states := make([]policy.State, 4)
+				for i := range states {
+					states[i] = rapid.SampledFrom([]policy.State{policy.Up, policy.Up, policy.Draining, policy.Removed}).Draw(t, "state")
+					drained[fmt.Sprint("box", i)] = states[i] != policy.Up
+				}
+				m.Servers(now, boxes(states...), true)
+			case 5:
+				if len(all) > 0 {
+					f := all[rapid.IntRange(0, len(all)-1).Draw(t, "who")]
+					if len(w.answers[f.call]) == 0 {
+						f.gone = true
+						m.Gone(now, f.call)
+					}
+				}
+			case 6:
+				end := now + rapid.Float64Range(0.01, 1).Draw(t, "pause")
+				for ; now < end; now += 0.01 {
+					m.Tick(now)
+					check()
+				}
+			}
+			check()
+		}
+		for end := now + 5; now < end; now += 0.01 {
+			m.Tick(now)
+			check()
+		}
+		if m.Held() != 0 {
+			t.Fatalf("%d requests are still held", m.Held())
+		}
+		c := m.Counts()
+		if c.Taken != c.Served+c.Refused+c.Failed+c.Admitted+c.Gone || c.Overdue > 0 {
+			t.Fatalf("the counts do not add up: %+v", c)
+		}
+	})
+}
+
+// BenchmarkModule and BenchmarkMachine take units for 1,000 clients in turn: what the core adds to the
+// module's own work on one goroutine.
+func BenchmarkModule(b *testing.B) {
+	s := settings()
+	s.Plans[0].Rate, s.Plans[0].Burst = 16000, 8000
+	act := &countingActions{}
+	g, err := policy.New(s, 7, 1000, act)
+	if err != nil {
+		b.Fatal(err)
+	}
+	names := clientNames()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now := 1000 + float64(i)*2e-6
+		if i%10000 == 0 {
+			g.Timer(now, 1)
+		}
+		g.Request(now, policy.Request{ID: fmt.Sprint(i), Class: "pay", Plan: "basic", Customer: names[i%len(names)],
+			DeadlineS: now + 2, Entries: 1, Units: 1, Limit: true})
+	}
+}
+
+func BenchmarkMachine(b *testing.B) {
+	s := settings()
+	s.Plans[0].Rate, s.Plans[0].Burst = 16000, 8000
+	m, err := NewMachine(s, 7, 1000, discard{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	names := clientNames()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now := 1000 + float64(i)*2e-6
+		m.Tick(now)
+		m.Take(now, &Call{Client: names[i%len(names)], Plan: "basic", Class: 2, Units: 1, Limit: true})
+	}
+}
+
+func clientNames() []string {
+	names := make([]string, 1000)
+	for i := range names {
+		names[i] = fmt.Sprint("client", i)
+	}
+	return names
+}
+
+type countingActions struct{ n int }
+
+func (c *countingActions) Send(string, string, float64) { c.n++ }
+func (c *countingActions) Refuse(string, float64)       { c.n++ }
+func (c *countingActions) Fail(string)                  { c.n++ }
+func (c *countingActions) Admit(string)                 { c.n++ }
+func (c *countingActions) Cancel(string, int)           { c.n++ }
+func (c *countingActions) SetTimer(uint64, float64)     {}
+func (c *countingActions) Probe(string)                 {}
+func (c *countingActions) Tell(int, []byte)             {}
+func (c *countingActions) Log(string)                   {}
+
+type discard struct{}
+
+func (discard) Send(Attempt, string, []byte) {}
+func (discard) Cancel(Attempt, string)       {}
+func (discard) Probe(string)                 {}
+func (discard) Tell(int, []byte)             {}
+func (discard) Answer(Answer)                {}
