A thin whole path: cometpond serve, check, secret and box; clients reach boxes through the module

Need: a program that runs. Change: internal/instance joins front, core, backend, peers and discovery and stops them in order; stand-ins of boxes, discovery and the network between instances; cobra sub-commands.

--- /dev/null
+++ b/cmd/cometpond/main.go
@@ -0,0 +1,58 @@
+// Command cometpond is an API gateway that keeps quotas and priorities over a fleet of instances.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	go func() { // a second signal is not caught: it ends the process at once
+		<-ctx.Done()
+		stop()
+	}()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "cometpond:", err)
+		os.Exit(1)
+	}
+}
+
+// root is the command line.
+func root() *cobra.Command {
+	c := &cobra.Command{
+		Use:           "cometpond",
+		Short:         "An API gateway that keeps quotas and priorities over a fleet of instances",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	var format, level string
+	c.PersistentFlags().StringVar(&format, "log", "console", "form of the log: console or json")
+	c.PersistentFlags().StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warn or error")
+	logger := func(w io.Writer) (zerolog.Logger, error) {
+		lv, err := zerolog.ParseLevel(level)
+		if err != nil {
+			return zerolog.Logger{}, fmt.Errorf("log-level %q: want debug, info, warn or error", level)
+		}
+		switch format {
+		case "console":
+			w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: "15:04:05.000"}
+		case "json":
+		default:
+			return zerolog.Logger{}, fmt.Errorf("log %q: want console or json", format)
+		}
+		return zerolog.New(w).Level(lv).With().Timestamp().Logger(), nil
+	}
+	c.AddCommand(serve(logger), check(), box(logger), secret())
+	return c
+}
+
+type newLogger func(io.Writer) (zerolog.Logger, error)
--- /dev/null
+++ b/internal/day/day.go
@@ -0,0 +1,1 @@
+package day
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,256 @@
+// Package instance joins the parts of one gateway: front, core, connections to the boxes, messages to other
+// instances and discovery, and starts and stops them in order.
+package instance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cometpond/internal/access"
+	"cometpond/internal/backend"
+	"cometpond/internal/config"
+	"cometpond/internal/core"
+	"cometpond/internal/discovery"
+	"cometpond/internal/front"
+	"cometpond/internal/peer"
+	"cometpond/policy"
+)
+
+// Options are what a caller may add to the settings file.
+type Options struct {
+	Log  zerolog.Logger
+	Seed uint64 // of the module's random numbers; 0: drawn
+	// Hooks put something between the parts; the rigs use them to break rules on purpose.
+	Hooks Hooks
+}
+
+// Hooks wrap parts where they are not nil.
+type Hooks struct {
+	Settings func(*policy.Settings)
+	Backend  func(core.Backend) core.Backend
+	Lists    func(discovery.Sink) discovery.Sink
+	Calls    func(front.Core) front.Core
+}
+
+// Instance is a running gateway.
+type Instance struct {
+	cfg   *config.Config
+	log   zerolog.Logger
+	loop  *core.Loop
+	pool  *backend.Pool
+	peers *peer.Link
+	disc  *discovery.Client
+	front *front.Server
+	since time.Time
+
+	stopParts context.CancelFunc // peers and discovery
+	stopLoop  context.CancelFunc
+	parts     sync.WaitGroup
+	ran       chan struct{} // closed when the loop has ended
+}
+
+// Start brings a gateway up: the boxes are known and the core runs before the first client is let in. With
+// discovery and no list kept on disk, clients are let in at once and wait for the first list.
+func Start(ctx context.Context, cfg *config.Config, opt Options) (_ *Instance, err error) {
+	i := &Instance{cfg: cfg, log: opt.Log, since: time.Now(), ran: make(chan struct{})}
+	s := cfg.Settings()
+	if opt.Hooks.Settings != nil {
+		opt.Hooks.Settings(&s)
+	}
+	seed := opt.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	if i.loop, err = core.NewLoop(s, seed, core.NewClock()); err != nil {
+		return nil, err
+	}
+	loops := cfg.Loops
+	if loops == 0 {
+		loops = max(1, min(4, runtime.NumCPU()/2))
+	}
+	i.pool, err = backend.New(i.loop, backend.Options{Backend: cfg.Backend, Name: fmt.Sprintf("cometpond-%d", cfg.Me),
+		Loops: max(1, loops/2), Log: opt.Log.With().Str("part", "backend").Logger()})
+	if err != nil {
+		return nil, err
+	}
+	parts, stopParts := context.WithCancel(context.Background())
+	loop, stopLoop := context.WithCancel(context.Background())
+	i.stopParts, i.stopLoop = stopParts, stopLoop
+	defer func() {
+		if err != nil {
+			i.end()
+		}
+	}()
+	var told core.Peers
+	if len(cfg.Instances) > 1 {
+		if i.peers, err = peer.Open(cfg, i.loop, opt.Log.With().Str("part", "peer").Logger()); err != nil {
+			return nil, err
+		}
+		told = i.peers
+		i.run(func() { i.peers.Run(parts) })
+	}
+	var boxes core.Backend = i.pool
+	if opt.Hooks.Backend != nil {
+		boxes = opt.Hooks.Backend(boxes)
+	}
+	i.loop.Attach(boxes, told)
+	go func() {
+		defer close(i.ran)
+		i.loop.Run(loop)
+	}()
+	var lists discovery.Sink = i.loop
+	if opt.Hooks.Lists != nil {
+		lists = opt.Hooks.Lists(lists)
+	}
+	if cfg.Discovery == nil {
+		<-lists.Servers(cfg.Boxes, true)
+	} else {
+		i.disc = discovery.NewClient(*cfg.Discovery, fmt.Sprintf("cometpond-%d", cfg.Me), lists,
+			opt.Log.With().Str("part", "discovery").Logger())
+		if err := i.disc.Restore(ctx); err != nil {
+			opt.Log.Warn().Err(err).Msg("kept list not used")
+		}
+		i.run(func() { i.disc.Run(parts) })
+	}
+	var calls front.Core = i.loop
+	if opt.Hooks.Calls != nil {
+		calls = opt.Hooks.Calls(calls)
+	}
+	i.front, err = front.Start(calls, front.Options{Listen: cfg.Listen, Loops: loops, Bounds: cfg.Front, Book: access.New(cfg),
+		Info: i.Info, Log: opt.Log.With().Str("part", "front").Logger()})
+	if err != nil {
+		return nil, err
+	}
+	return i, nil
+}
+
+func (i *Instance) run(f func()) {
+	i.parts.Add(1)
+	go func() {
+		defer i.parts.Done()
+		f()
+	}()
+}
+
+// Addr is the address that clients reach.
+func (i *Instance) Addr() (net.Addr, error) { return i.front.Addr() }
+
+// Stop turns new work away, lets what is in flight end for as long as the settings say, settles the rest,
+// and closes everything. When ctx is over it settles at once. Each request taken has had its answer.
+func (i *Instance) Stop(ctx context.Context) error {
+	i.front.Drain()
+	i.loop.Drain()
+	deadline := time.NewTimer(i.cfg.Drain)
+	defer deadline.Stop()
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	quiet := 0
+	for waiting := true; waiting && quiet < 3; { // three looks: what is being read just now comes in between
+		select {
+		case <-tick.C:
+			if s := i.loop.Status(); s.Held+s.Waiting == 0 {
+				quiet++
+			} else {
+				quiet = 0
+			}
+		case <-deadline.C:
+			waiting = false
+		case <-ctx.Done():
+			waiting = false
+		}
+	}
+	s := i.loop.Status()
+	i.stopLoop()
+	<-i.ran
+	flush, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	i.front.Flush(flush)
+	i.log.Info().Int("settled", s.Held).Uint64("taken", s.Taken).Msg("stopped")
+	return i.end()
+}
+
+// end closes what runs; it is for a start that failed as well.
+func (i *Instance) end() error {
+	var errs []error
+	i.stopLoop()
+	if i.front != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		errs = append(errs, i.front.Stop(ctx))
+	}
+	i.stopParts()
+	i.parts.Wait()
+	if i.pool != nil {
+		errs = append(errs, i.pool.Stop())
+	}
+	return errors.Join(errs...)
+}
+
+// Status is what the core last counted.
+func (i *Instance) Status() core.Status { return i.loop.Status() }
+
+// Info is the text that INFO answers: sections of name:value lines.
+func (i *Instance) Info() string {
+	var b strings.Builder
+	section := func(name string) { fmt.Fprintf(&b, "# %s\r\n", name) }
+	line := func(name string, v any) { fmt.Fprintf(&b, "%s:%v\r\n", name, v) }
+	section("Server")
+	line("instance", i.cfg.Me)
+	line("zone", i.cfg.Zone)
+	line("uptime_in_seconds", int(time.Since(i.since).Seconds()))
+	s := i.loop.Status()
+	section("Requests")
+	for _, f := range []struct {
+		name string
+		v    any
+	}{{"taken", s.Taken}, {"served", s.Served}, {"refused", s.Refused}, {"failed", s.Failed}, {"admitted", s.Admitted},
+		{"client_gone", s.Gone}, {"joined", s.Joined}, {"repeated", s.Repeated}, {"overfull", s.Overfull},
+		{"overdue", s.Overdue}, {"in_flight", s.Held}, {"waiting", s.Waiting}, {"attempts", s.Attempts},
+		{"attempt_timeouts", s.Timeouts}, {"late_answers", s.Late}, {"probes", s.Probes}} {
+		line(f.name, f.v)
+	}
+	section("Clients")
+	if i.front != nil {
+		c := i.front.Counts()
+		line("connections", c.Open)
+		line("connections_total", c.Opened)
+		line("connections_cut", c.Cut)
+		line("commands", c.Commands)
+		line("logins_denied", c.Denied)
+	}
+	section("Boxes")
+	p := i.pool.Counts()
+	line("box_connections", p.Open)
+	line("dials", p.Dials)
+	line("dials_failed", p.DialsFailed)
+	line("connections_broken", p.Broken)
+	if i.disc != nil {
+		d := i.disc.State()
+		line("discovery_connected", d.Connected)
+		line("list_version", d.Version)
+		line("list_boxes", d.Boxes)
+		line("lists_refused", d.Nacked)
+	}
+	if i.peers != nil {
+		section("Peers")
+		c := i.peers.Counts()
+		line("messages_sent", c.Sent)
+		line("messages_unsent", c.Unsent)
+		line("messages_heard", c.Heard)
+		line("messages_dropped", s.Dropped)
+		line("foreign", c.Foreign)
+		line("replayed", c.Replayed)
+		line("old", c.Old)
+		line("misdirected", c.WrongWay)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/standin/box.go
@@ -0,0 +1,355 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"cometpond/internal/config"
+	"cometpond/internal/resp"
+)
+
+// Job says what a command costs a box.
+type Job struct {
+	Work  float64 // mean seconds of a core of speed 1
+	KeyAt int     // the word that holds the submission key, 0: none
+	KeyS  float64 // for so long repeats of a key are dropped
+}
+
+// Arrival is what a box saw of one command.
+type Arrival struct {
+	At       time.Time
+	Box      string
+	Instance string // as it named itself by CLIENT SETNAME
+	Words    []string
+	Ruling   Ruling
+	Executed bool // it ran here and now: no repeat, not turned away
+}
+
+// Memory is the submission keys that the boxes of one room have seen.
+type Memory struct {
+	mu   sync.Mutex
+	seen map[string]remembered
+}
+
+type remembered struct {
+	at     time.Time
+	doneAt time.Time
+	reply  string
+}
+
+// NewMemory returns an empty memory.
+func NewMemory() *Memory { return &Memory{seen: map[string]remembered{}} }
+
+// Clear forgets all keys, as a room does that lost its power.
+func (m *Memory) Clear() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.seen)
+}
+
+// BoxOptions describe a Box.
+type BoxOptions struct {
+	Params Params
+	Jobs   map[string]Job // by command, in upper case
+	Seed   uint64
+	Memory *Memory       // shared by the boxes of a room
+	Saw    func(Arrival) // called for each command that is a job, one at a time
+	Load   string        // "answer": load rides on answers; else INFO tells it
+}
+
+// Box is a stand-in of a queue box on a TCP address.
+type Box struct {
+	addr string
+	opt  BoxOptions
+	rng  *rand.Rand
+
+	mu     sync.Mutex // covers all below, and the order of Saw
+	model  *Model
+	ln     net.Listener
+	conns  map[net.Conn]struct{}
+	silent bool
+	base   time.Time
+	fell   time.Time
+	work   sync.WaitGroup
+}
+
+// NewBox listens on an address; port 0 takes a free one.
+func NewBox(addr string, opt BoxOptions) (*Box, error) {
+	if opt.Memory == nil {
+		opt.Memory = NewMemory()
+	}
+	b := &Box{addr: addr, opt: opt, rng: rand.New(rand.NewPCG(opt.Seed, 1)), model: NewModel(opt.Params),
+		conns: map[net.Conn]struct{}{}, base: time.Now()}
+	if err := b.listen(); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *Box) listen() error {
+	ln, err := net.Listen("tcp", b.addr)
+	if err != nil {
+		return fmt.Errorf("box: %w", err)
+	}
+	b.ln, b.addr = ln, ln.Addr().String()
+	b.work.Add(1)
+	go b.accept(ln)
+	return nil
+}
+
+// Addr is the address that the box listens on.
+func (b *Box) Addr() string { return b.addr }
+
+func (b *Box) now() float64 { return time.Since(b.base).Seconds() + 1 }
+
+func (b *Box) accept(ln net.Listener) {
+	defer b.work.Done()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		if b.ln != ln { // taken down meanwhile
+			b.mu.Unlock()
+			reset(c)
+			continue
+		}
+		b.conns[c] = struct{}{}
+		b.work.Add(2)
+		b.mu.Unlock()
+		replies := make(chan reply, 1024)
+		go b.read(c, replies)
+		go b.write(c, replies)
+	}
+}
+
+// reply is written at its time, or never while the box is silent.
+type reply struct {
+	at   time.Time
+	text []byte
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (b *Box) read(c net.Conn, replies chan<- reply) {
+	defer b.work.Done()
+	defer close(replies)
+	defer func() {
+		b.mu.Lock()
+		delete(b.conns, c)
+		b.mu.Unlock()
+		c.Close()
+	}()
+	var buf []byte
+	chunk := make([]byte, 16<<10)
+	name, version := "", 2
+	for {
+		args, n, _, err := resp.Command(buf, nil, resp.DefaultLimits)
+		if errors.Is(err, resp.ErrIncomplete) {
+			m, err := c.Read(chunk)
+			if err != nil {
+				return
+			}
+			buf = append(buf, chunk[:m]...)
+			continue
+		} else if err != nil {
+			_, _ = c.Write(resp.AppendError(nil, "ERR "+err.Error()))
+			return
+		}
+		buf = buf[n:]
+		if len(args) == 0 {
+			continue
+		}
+		words := make([]string, len(args))
+		for i, a := range args {
+			words[i] = string(a)
+		}
+		words[0] = strings.ToUpper(words[0])
+		var r reply
+		switch {
+		case words[0] == "CLIENT" && len(words) == 3 && strings.EqualFold(words[1], "SETNAME"):
+			name = words[2]
+			r.text = []byte("+OK\r\n")
+		case words[0] == "HELLO" && len(words) > 1:
+			if words[1] == "3" {
+				version = 3
+			}
+			r.text = resp.AppendMap(nil, version, 0)
+		case words[0] == "PING":
+			r.text = []byte("+PONG\r\n")
+		case words[0] == "INFO":
+			r.text = resp.AppendBulk(nil, b.info())
+		default:
+			r = b.job(name, words)
+			if version == 3 && b.opt.Load == "answer" {
+				r.text = append(resp.AppendBulk(resp.AppendBulk([]byte("|1\r\n"), "util"), b.util()), r.text...)
+			}
+		}
+		replies <- r
+	}
+}
+
+func (b *Box) write(c net.Conn, replies <-chan reply) {
+	defer b.work.Done()
+	for r := range replies {
+		if d := time.Until(r.at); d > 0 {
+			time.Sleep(d)
+		}
+		b.mu.Lock()
+		silent := b.silent
+		b.mu.Unlock()
+		if silent {
+			continue
+		}
+		if _, err := c.Write(r.text); err != nil && !errors.Is(err, io.EOF) {
+			continue // the reader sees the end and closes replies
+		}
+	}
+}
+
+// job runs a command.
+func (b *Box) job(instance string, words []string) reply {
+	j, known := b.opt.Jobs[words[0]]
+	if !known || j.KeyAt >= len(words) {
+		return reply{text: resp.AppendError(nil, "ERR unknown command '"+words[0]+"'")}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := time.Now()
+	a := Arrival{At: at, Box: b.addr, Instance: instance, Words: words}
+	r := b.run(at, j, words, &a)
+	if b.opt.Saw != nil {
+		b.opt.Saw(a)
+	}
+	return r
+}
+
+func (b *Box) run(at time.Time, j Job, words []string, a *Arrival) reply {
+	mem := b.opt.Memory
+	key := ""
+	if j.KeyAt > 0 {
+		key = words[j.KeyAt]
+		mem.mu.Lock()
+		defer mem.mu.Unlock()
+		if seen, ok := mem.seen[key]; ok && at.Sub(seen.at).Seconds() <= j.KeyS {
+			return reply{seen.doneAt, []byte(seen.reply)}
+		}
+	}
+	work := j.Work * math.Max(0.2, b.rng.ExpFloat64()*0.5+0.5)
+	done, ruling := b.model.Offer(b.now(), work)
+	a.Ruling = ruling
+	switch ruling {
+	case Full:
+		return reply{text: resp.AppendError(nil, "BUSY the queue is full")}
+	case Fell:
+		if b.fell.IsZero() {
+			b.fell = at
+		}
+		b.silent = true
+		return reply{}
+	}
+	a.Executed = true
+	doneAt := b.base.Add(time.Duration((done - 1) * 1e9))
+	text := "+" + strings.Join([]string{words[0], "done", words[min(1, len(words)-1)]}, " ") + "\r\n"
+	if key != "" {
+		mem.seen[key] = remembered{at, doneAt, text}
+	}
+	return reply{doneAt, []byte(text)}
+}
+
+func (b *Box) util() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return fmt.Sprintf("%.3f", b.model.Util(b.now()))
+}
+
+func (b *Box) info() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	return fmt.Sprintf("# Load\r\nutil:%.3f\r\nqueue:%d\r\n", b.model.Util(now), b.model.Waiting(now))
+}
+
+// Silent has the box read and run, but answer nothing, or answer again.
+func (b *Box) Silent(on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silent = on
+}
+
+// Slow makes all work take so many times as long.
+func (b *Box) Slow(factor float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.model.Slow(factor)
+}
+
+// Reset breaks all connections.
+func (b *Box) Reset() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c := range b.conns {
+		reset(c)
+	}
+}
+
+// Down takes the box from the network: connections break and none is taken.
+func (b *Box) Down() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ln != nil {
+		b.ln.Close()
+		b.ln = nil
+	}
+	for c := range b.conns {
+		reset(c)
+	}
+}
+
+// Up brings the box back, restarted and cold.
+func (b *Box) Up() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.model.Restart(b.now())
+	b.silent, b.fell = false, time.Time{}
+	if b.ln != nil {
+		return nil
+	}
+	return b.listen()
+}
+
+// Fell is when the box fell over, zero if it stands.
+func (b *Box) Fell() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fell
+}
+
+// Close takes the box down and waits for its goroutines.
+func (b *Box) Close() {
+	b.Down()
+	b.work.Wait()
+}
+
+// Jobs are the commands of a settings file, each with a mean work of this share of its class's aim.
+func Jobs(c *config.Config, share float64) map[string]Job {
+	jobs := map[string]Job{}
+	for _, k := range c.Commands {
+		class := c.Classes[k.Class]
+		jobs[k.Name] = Job{Work: share * class.AimS, KeyAt: k.KeyAt, KeyS: class.KeyTTLS}
+	}
+	return jobs
+}
--- /dev/null
+++ b/internal/standin/eds.go
@@ -0,0 +1,141 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	edsv3 "github.com/envoyproxy/go-control-plane/envoy/service/endpoint/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"cometpond/internal/discovery"
+	"cometpond/policy"
+)
+
+// Told is what a discovery server saw of an instance: it acknowledged a version.
+type Told struct {
+	At      time.Time
+	Node    string
+	Version int
+	Error   string // the instance refused it for this reason
+}
+
+// EDS is a stand-in of an endpoint discovery server, state of the world.
+type EDS struct {
+	edsv3.UnimplementedEndpointDiscoveryServiceServer
+	cluster string
+	addr    string
+	server  *grpc.Server
+
+	mu      sync.Mutex
+	version int
+	lists   map[int][]policy.Server // by version
+	told    []Told
+	changed chan struct{} // closed when there is a new version
+}
+
+// NewEDS serves a cluster's list on an address; port 0 takes a free one.
+func NewEDS(addr, cluster string, list []policy.Server) (*EDS, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("discovery stand-in: %w", err)
+	}
+	e := &EDS{cluster: cluster, addr: ln.Addr().String(), server: grpc.NewServer(), lists: map[int][]policy.Server{},
+		changed: make(chan struct{})}
+	e.Set(list)
+	edsv3.RegisterEndpointDiscoveryServiceServer(e.server, e)
+	go e.server.Serve(ln)
+	return e, nil
+}
+
+// Addr is the address that the server listens on.
+func (e *EDS) Addr() string { return e.addr }
+
+// Set pushes a list to all instances.
+func (e *EDS) Set(list []policy.Server) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version++
+	e.lists[e.version] = append([]policy.Server(nil), list...)
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// List returns the list of a version.
+func (e *EDS) List(version int) []policy.Server {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lists[version]
+}
+
+// Told returns the acknowledgements so far, in order.
+func (e *EDS) Told() []Told {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Told(nil), e.told...)
+}
+
+// Close ends the server and its streams.
+func (e *EDS) Close() { e.server.Stop() }
+
+// StreamEndpoints serves one instance.
+func (e *EDS) StreamEndpoints(s edsv3.EndpointDiscoveryService_StreamEndpointsServer) error {
+	first, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	node := first.GetNode().GetId()
+	acks := make(chan struct{}, 1)
+	failed := make(chan error, 1)
+	go func() { // ends with the stream
+		for {
+			r, err := s.Recv()
+			if err != nil {
+				failed <- err
+				return
+			}
+			v, _ := strconv.Atoi(r.GetVersionInfo())
+			e.mu.Lock()
+			e.told = append(e.told, Told{time.Now(), node, v, r.GetErrorDetail().GetMessage()})
+			e.mu.Unlock()
+			select {
+			case acks <- struct{}{}:
+			default:
+			}
+		}
+	}()
+	sent := 0
+	for {
+		e.mu.Lock()
+		version, list, changed := e.version, e.lists[e.version], e.changed
+		e.mu.Unlock()
+		if version > sent {
+			a, err := discovery.Assignment(e.cluster, list)
+			if err != nil {
+				return err
+			}
+			res, err := anypb.New(a)
+			if err != nil {
+				return err
+			}
+			v := strconv.Itoa(version)
+			if err := s.Send(&discoveryv3.DiscoveryResponse{VersionInfo: v, TypeUrl: discovery.TypeURL, Nonce: "n" + v,
+				Resources: []*anypb.Any{res}}); err != nil {
+				return err
+			}
+			sent = version
+		}
+		select {
+		case <-changed:
+		case <-acks:
+		case err := <-failed:
+			return err
+		case <-s.Context().Done():
+			return s.Context().Err()
+		}
+	}
+}
