--- /dev/null
+++ b/internal/audit/audit.go
@@ -0,0 +1,398 @@
+// Package audit judges the five rules from what clients, boxes and the discovery server saw on their
+// sockets. It takes no instance's word, does no I/O and has no clock.
+package audit
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cometpond/policy"
+)
+
+// Rule is one of the five.
+type Rule int
+
+// The rules.
+const (
+	Lost    Rule = iota // each request taken has one final answer in time, and nothing is sent for it after
+	Repeat              // no effect happens twice, and a refusal is harmless
+	Drain               // nothing new to a box that drains or is gone
+	Cold                // no box that has just started is pushed over
+	Ceiling             // no customer passes its hard ceiling
+	rules
+)
+
+var ruleNames = [rules]string{"no request lost", "no effect twice", "drains kept", "no cold box pushed over", "ceilings kept"}
+
+// Short are the rules' names on the command line.
+var Short = [rules]string{"lost", "repeat", "drain", "cold", "ceiling"}
+
+func (r Rule) String() string { return ruleNames[r] }
+
+// End is the way a try ended for its client.
+type End string
+
+// The ends.
+const (
+	Served     End = "served"
+	Refused    End = "refused"
+	Failed     End = "failed"
+	Admitted   End = "admitted"   // units alone
+	Limited    End = "limited"    // units alone, refused
+	Broken     End = "broken"     // the connection ended first
+	Unanswered End = "unanswered" // nothing came in time
+	Unreached  End = "unreached"  // no connection was had: nobody took it
+)
+
+// Try is one command as its client saw it.
+type Try struct {
+	ID, Request, Client, Class, Key string
+	Instance                        int
+	Units                           float64
+	SentAt, EndAt                   time.Time
+	End                             End
+	Extra                           int  // answers beyond the first
+	Excused                         bool // its instance was killed while it was out
+}
+
+// Arrival is one command as a box saw it.
+type Arrival struct {
+	At                                     time.Time
+	Box, Instance, Try, Class, Client, Key string
+	Executed                               bool
+}
+
+// Notice is the moment at which an instance acknowledged a list of boxes, or, with Restart, began anew.
+type Notice struct {
+	At       time.Time
+	Instance string
+	Up       map[string]bool // the boxes that may get new work
+	Restart  bool
+}
+
+// Fall is a box that was pushed over.
+type Fall struct {
+	At  time.Time
+	Box string
+}
+
+// Record is all that was seen.
+type Record struct {
+	Classes    []policy.Class
+	Plans      []policy.Plan
+	PlanOf     map[string]string // by client
+	Tries      []Try
+	Arrivals   []Arrival
+	Notices    []Notice
+	Falls      []Fall
+	DrainGrace time.Duration
+}
+
+// Tolerances of measuring on one busy machine: how late an answer or a datagram of the kernel may be seen.
+const (
+	answerSlack  = 250 * time.Millisecond
+	afterSlack   = 250 * time.Millisecond
+	drainSlack   = 100 * time.Millisecond
+	ceilingSlack = 0.1 // seconds of the ceiling's rate
+)
+
+// Verdict is what a record comes to.
+type Verdict struct {
+	Broken   [rules][]string // what broke each rule
+	Requests int             // tries that an instance took
+	Groups   []Group
+	Over     []Overshoot
+}
+
+// Group is the tries of one class and plan.
+type Group struct {
+	Class, Plan string
+	Ends        map[End]int
+	Latency     *hdrhistogram.Histogram // of served ones, microseconds
+}
+
+// Overshoot is how far the customers of a plan went past its quota and ceiling, in units: the deepest that
+// the store of any of them went below 0.
+type Overshoot struct {
+	Plan                    string
+	Quota, Ceiling, Allowed float64 // allowed: the ceiling's slack
+	Units, Beyond           float64 // sent on in all, and of them beyond quotas
+}
+
+// Kept tells whether all rules were kept.
+func (v *Verdict) Kept() bool {
+	for _, b := range v.Broken {
+		if len(b) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (v *Verdict) broke(r Rule, format string, args ...any) {
+	v.Broken[r] = append(v.Broken[r], fmt.Sprintf(format, args...))
+}
+
+// Judge reads a record.
+func Judge(r *Record) *Verdict {
+	v := &Verdict{}
+	slices.SortStableFunc(r.Arrivals, func(a, b Arrival) int { return a.At.Compare(b.At) })
+	classes := map[string]*policy.Class{}
+	for i := range r.Classes {
+		classes[r.Classes[i].Name] = &r.Classes[i]
+	}
+	tries := map[string]*Try{}
+	for i := range r.Tries {
+		tries[r.Tries[i].ID] = &r.Tries[i]
+	}
+	v.lost(r, classes, tries)
+	v.repeats(r, classes, tries)
+	v.drains(r)
+	for _, f := range r.Falls {
+		v.broke(Cold, "%s fell over at %s", f.Box, f.At.Format("15:04:05.000"))
+	}
+	v.quotas(r, tries)
+	v.groups(r)
+	return v
+}
+
+func (v *Verdict) lost(r *Record, classes map[string]*policy.Class, tries map[string]*Try) {
+	for i := range r.Tries {
+		t := &r.Tries[i]
+		if t.End != Unreached {
+			v.Requests++
+		}
+		late := time.Duration(0)
+		if c := classes[t.Class]; c != nil {
+			late = t.EndAt.Sub(t.SentAt) - time.Duration(c.DeadlineS*1e9) - answerSlack
+		}
+		switch {
+		case t.Extra > 0:
+			v.broke(Lost, "try %s had %d answers", t.ID, 1+t.Extra)
+		case t.Excused || t.End == Unreached:
+		case t.End == Unanswered:
+			v.broke(Lost, "try %s at instance %d had no answer", t.ID, t.Instance)
+		case t.End == Broken:
+			v.broke(Lost, "try %s lost its connection to instance %d, which ran on", t.ID, t.Instance)
+		case late > 0:
+			v.broke(Lost, "try %s was answered %v after its deadline", t.ID, late)
+		}
+	}
+	for _, a := range r.Arrivals {
+		t := tries[a.Try]
+		if t == nil {
+			v.broke(Lost, "%s got %s, which no client sent", a.Box, a.Try)
+		} else if answered(t.End) && a.At.Sub(t.EndAt) > afterSlack {
+			v.broke(Lost, "%s got try %s %v after its final answer", a.Box, a.Try, a.At.Sub(t.EndAt))
+		}
+	}
+}
+
+func answered(e End) bool { return e == Served || e == Refused || e == Failed }
+
+func (v *Verdict) repeats(r *Record, classes map[string]*policy.Class, tries map[string]*Try) {
+	ran := map[string][]Arrival{} // by effect
+	for _, a := range r.Arrivals {
+		c := classes[a.Class]
+		if !a.Executed || c == nil || c.Effect == policy.Safe {
+			continue
+		}
+		effect := a.Client + " " + a.Try
+		if c.Effect == policy.Keyed {
+			effect = a.Client + " " + a.Key
+		}
+		ran[effect] = append(ran[effect], a)
+		if t := tries[a.Try]; t != nil && t.End == Refused && !(c.Effect == policy.Keyed && c.KeyScope == policy.ScopeAll) {
+			v.broke(Repeat, "try %s was refused as harmless and ran at %s", a.Try, a.Box)
+		}
+	}
+	for effect, list := range ran {
+		if len(list) > 1 {
+			v.broke(Repeat, "%s ran %d times, at %s and %s, %v apart", effect, len(list), list[0].Box, list[1].Box,
+				list[1].At.Sub(list[0].At).Round(time.Millisecond))
+		}
+	}
+	sort.Strings(v.Broken[Repeat])
+}
+
+// drains looks for work that came to a box later than the grace after its instance was told not to.
+func (v *Verdict) drains(r *Record) {
+	byInstance := map[string][]Notice{}
+	for _, n := range r.Notices {
+		byInstance[n.Instance] = append(byInstance[n.Instance], n)
+	}
+	for _, list := range byInstance {
+		slices.SortStableFunc(list, func(a, b Notice) int { return a.At.Compare(b.At) })
+	}
+	for _, a := range r.Arrivals {
+		// The notice in force before the grace, and those since: the box was told off all the while.
+		list := byInstance[a.Instance]
+		limit := a.At.Add(-r.DrainGrace - drainSlack)
+		n := sort.Search(len(list), func(i int) bool { return list[i].At.After(limit) })
+		off := n > 0 && !list[n-1].Restart && !list[n-1].Up[a.Box]
+		for ; off && n < len(list) && !list[n].At.After(a.At); n++ {
+			off = !list[n].Restart && !list[n].Up[a.Box]
+		}
+		if off {
+			v.broke(Drain, "%s got try %s from %s, told off over %v before", a.Box, a.Try, a.Instance, r.DrainGrace)
+		}
+	}
+}
+
+// store is a quota or ceiling as the rules count it.
+type store struct {
+	level, rate, burst, low float64
+	at                      time.Time
+}
+
+func (s *store) take(at time.Time, units float64) (beyond bool) {
+	if !s.at.IsZero() {
+		s.level = min(s.burst, s.level+s.rate*max(0, at.Sub(s.at).Seconds()))
+	}
+	s.at = at
+	beyond = s.level < units
+	s.level -= units
+	s.low = min(s.low, s.level)
+	return beyond
+}
+
+// quotas counts, for each customer, the units of each try when it first reached a box or was admitted.
+func (v *Verdict) quotas(r *Record, tries map[string]*Try) {
+	type use struct {
+		at     time.Time
+		client string
+		units  float64
+	}
+	var uses []use
+	seen := map[string]bool{}
+	for _, a := range r.Arrivals {
+		if t := tries[a.Try]; t != nil && !seen[a.Try] {
+			seen[a.Try] = true
+			uses = append(uses, use{a.At, t.Client, t.Units})
+		}
+	}
+	for _, t := range r.Tries {
+		if t.End == Admitted {
+			uses = append(uses, use{t.EndAt, t.Client, t.Units})
+		}
+	}
+	slices.SortStableFunc(uses, func(a, b use) int { return a.at.Compare(b.at) })
+	plans := map[string]*policy.Plan{}
+	over := map[string]*Overshoot{}
+	for i := range r.Plans {
+		p := &r.Plans[i]
+		plans[p.Name] = p
+		over[p.Name] = &Overshoot{Plan: p.Name, Allowed: p.CeilingSlack}
+	}
+	quota, ceiling := map[string]*store{}, map[string]*store{}
+	for _, u := range uses {
+		p := plans[r.PlanOf[u.client]]
+		if p == nil {
+			continue
+		}
+		o := over[p.Name]
+		o.Units += u.units
+		if p.Rate > 0 {
+			q := quota[u.client]
+			if q == nil {
+				q = &store{level: p.Burst, rate: p.Rate, burst: p.Burst}
+				quota[u.client] = q
+			}
+			if q.take(u.at, u.units) {
+				o.Beyond += u.units
+				q.level += u.units // what is beyond takes nothing: it does not make the next one beyond
+				o.Quota = max(o.Quota, u.units-q.level)
+			}
+		}
+		if p.CeilingRate > 0 {
+			q := ceiling[u.client]
+			if q == nil {
+				q = &store{level: p.CeilingBurst, rate: p.CeilingRate, burst: p.CeilingBurst}
+				ceiling[u.client] = q
+			}
+			q.take(u.at, u.units)
+			if q.low < -p.CeilingSlack-ceilingSlack*p.CeilingRate && !math.IsInf(q.burst, 1) {
+				v.broke(Ceiling, "client %s on %s went %.1f units below its ceiling at %s, %.1f are allowed", u.client, p.Name,
+					-q.low, u.at.Format("15:04:05.000"), p.CeilingSlack)
+				q.burst = math.Inf(1) // told once
+			}
+			o.Ceiling = max(o.Ceiling, -q.low)
+		}
+	}
+	for _, p := range r.Plans {
+		v.Over = append(v.Over, *over[p.Name])
+	}
+}
+
+func (v *Verdict) groups(r *Record) {
+	index := map[[2]string]int{}
+	for _, t := range r.Tries {
+		key := [2]string{t.Class, r.PlanOf[t.Client]}
+		i, ok := index[key]
+		if !ok {
+			i = len(v.Groups)
+			index[key] = i
+			v.Groups = append(v.Groups, Group{key[0], key[1], map[End]int{}, hdrhistogram.New(1, 60_000_000, 3)})
+		}
+		g := &v.Groups[i]
+		g.Ends[t.End]++
+		if t.End == Served {
+			_ = g.Latency.RecordValue(max(1, t.EndAt.Sub(t.SentAt).Microseconds())) // past a minute it is not served
+		}
+	}
+	slices.SortFunc(v.Groups, func(a, b Group) int {
+		return slices.Compare([]string{a.Plan, a.Class}, []string{b.Plan, b.Class})
+	})
+}
+
+// shown is how many breaches of a rule are printed.
+const shown = 5
+
+// Write prints the verdict. Its last line is the sum.
+func (v *Verdict) Write(w io.Writer) error {
+	var err error
+	p := func(format string, args ...any) {
+		if err == nil {
+			_, err = fmt.Fprintf(w, format, args...)
+		}
+	}
+	p("%-10s %-12s %7s %7s %7s %9s %8s %8s %9s  p50      p99      p99.9 ms\n", "plan", "class", "served", "refused", "failed",
+		"admitted", "limited", "broken", "unreached")
+	for _, g := range v.Groups {
+		p("%-10s %-12s %7d %7d %7d %9d %8d %8d %9d", g.Plan, g.Class, g.Ends[Served], g.Ends[Refused], g.Ends[Failed], g.Ends[Admitted],
+			g.Ends[Limited], g.Ends[Broken]+g.Ends[Unanswered], g.Ends[Unreached])
+		if g.Latency.TotalCount() > 0 {
+			for _, q := range []float64{50, 99, 99.9} {
+				p("  %-7.1f", float64(g.Latency.ValueAtQuantile(q))/1000)
+			}
+		}
+		p("\n")
+	}
+	for _, o := range v.Over {
+		p("plan %s: %.0f units sent on, %.2f%% beyond quotas", o.Plan, o.Units, 100*o.Beyond/max(o.Units, 1))
+		if o.Allowed > 0 {
+			p("; ceiling passed by %.1f units at most, %.1f allowed", o.Ceiling, o.Allowed)
+		}
+		p("\n")
+	}
+	broken := 0
+	for r, list := range v.Broken {
+		if len(list) == 0 {
+			p("kept    %s\n", Rule(r))
+			continue
+		}
+		broken++
+		p("BROKEN  %s (%s), %d times\n", Rule(r), Short[r], len(list))
+		for _, s := range list[:min(shown, len(list))] {
+			p("        %s\n", s)
+		}
+	}
+	p("rules: %d kept, %d broken; %d requests\n", int(rules)-broken, broken, v.Requests)
+	return err
+}
--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,109 @@
+package audit
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"cometpond/policy"
+)
+
+var t0 = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * 1e9)) }
+
+// clean is a record in which all rules are kept.
+func clean() *Record {
+	return &Record{
+		Classes: []policy.Class{{Name: "read", DeadlineS: 2, Effect: policy.Safe},
+			{Name: "put", DeadlineS: 4, Effect: policy.Keyed, KeyScope: policy.ScopeZone, KeyTTLS: 7.5},
+			{Name: "pay", DeadlineS: 4, Effect: policy.Unsafe}},
+		Plans:  []policy.Plan{{Name: "capped", Rate: 1, Burst: 2, CeilingRate: 2, CeilingBurst: 4, CeilingSlack: 1}},
+		PlanOf: map[string]string{"ada": "capped"},
+		Tries: []Try{
+			{ID: "r1", Client: "ada", Class: "read", Units: 1, SentAt: at(1), EndAt: at(1.1), End: Served},
+			{ID: "p1", Client: "ada", Class: "put", Key: "k", Units: 1, SentAt: at(2), EndAt: at(2.2), End: Served},
+			{ID: "x1", Client: "ada", Class: "pay", Units: 1, SentAt: at(3), EndAt: at(3.2), End: Failed},
+			{ID: "r2", Client: "ada", Class: "read", Units: 1, SentAt: at(8), EndAt: at(8.1), End: Broken, Excused: true},
+		},
+		Arrivals: []Arrival{
+			{At: at(1.02), Box: "b1", Instance: "i0", Try: "r1", Class: "read", Client: "ada", Executed: true},
+			{At: at(1.05), Box: "b2", Instance: "i0", Try: "r1", Class: "read", Client: "ada", Executed: true},
+			{At: at(2.05), Box: "b1", Instance: "i0", Try: "p1", Class: "put", Client: "ada", Key: "k", Executed: true},
+			{At: at(3.05), Box: "b1", Instance: "i0", Try: "x1", Class: "pay", Client: "ada", Executed: true},
+		},
+		Notices: []Notice{{At: at(0), Instance: "i0", Up: map[string]bool{"b1": true, "b2": true}},
+			{At: at(1.5), Instance: "i0", Up: map[string]bool{"b1": true}}},
+		DrainGrace: 2 * time.Second,
+	}
+}
+
+func TestJudge(t *testing.T) {
+	if v := Judge(clean()); !v.Kept() || v.Requests != 4 {
+		t.Fatalf("a clean record: %+v", v.Broken)
+	}
+	for name, c := range map[string]struct {
+		rule   Rule
+		change func(*Record)
+	}{
+		"no answer":            {Lost, func(r *Record) { r.Tries[0].End = Unanswered }},
+		"late answer":          {Lost, func(r *Record) { r.Tries[0].EndAt = at(3.5) }},
+		"two answers":          {Lost, func(r *Record) { r.Tries[0].Extra = 1 }},
+		"connection closed":    {Lost, func(r *Record) { r.Tries[3].Excused = false }},
+		"sent after answer":    {Lost, func(r *Record) { r.Arrivals[1].At = at(1.5) }},
+		"work of no client":    {Lost, func(r *Record) { r.Arrivals[1].Try = "zz" }},
+		"unsafe ran twice":     {Repeat, func(r *Record) { r.Arrivals = append(r.Arrivals, r.Arrivals[3]) }},
+		"key ran twice":        {Repeat, func(r *Record) { r.Arrivals = append(r.Arrivals, r.Arrivals[2]) }},
+		"refused after it ran": {Repeat, func(r *Record) { r.Tries[2].End = Refused }},
+		"told off": {Drain, func(r *Record) {
+			a := r.Arrivals[1]
+			a.At, a.Try = at(8.05), "r2"
+			r.Arrivals = append(r.Arrivals, a)
+		}},
+		"pushed over": {Cold, func(r *Record) { r.Falls = []Fall{{at(3), "b1"}} }},
+		"over the ceiling": {Ceiling, func(r *Record) {
+			for i := range r.Tries[:3] {
+				r.Tries[i].Units = 5
+			}
+		}},
+	} {
+		r := clean()
+		c.change(r)
+		v := Judge(r)
+		for rule, list := range v.Broken {
+			if (len(list) > 0) != (Rule(rule) == c.rule) {
+				t.Errorf("%s: rule %q: %v", name, Rule(rule), list)
+			}
+		}
+		var b strings.Builder
+		if err := v.Write(&b); err != nil || !strings.HasSuffix(b.String(), "rules: 4 kept, 1 broken; 4 requests\n") ||
+			!strings.Contains(b.String(), "("+Short[c.rule]+")") {
+			t.Errorf("%s: %v %s", name, err, b.String())
+		}
+	}
+}
+
+// Work within the grace, to a box that came back meanwhile, or from an instance that began anew is no breach.
+func TestDrainGrace(t *testing.T) {
+	for name, change := range map[string]func(*Record){
+		"within the grace": func(r *Record) { r.Arrivals[1].At = at(1.1) },
+		"back again": func(r *Record) {
+			r.Notices = append(r.Notices, Notice{At: at(7), Instance: "i0", Up: map[string]bool{"b1": true, "b2": true}})
+			a := r.Arrivals[1]
+			a.At, a.Try = at(8.05), "r2"
+			r.Arrivals = append(r.Arrivals, a)
+		},
+		"restarted": func(r *Record) {
+			r.Notices = append(r.Notices, Notice{At: at(7), Instance: "i0", Restart: true})
+			a := r.Arrivals[1]
+			a.At, a.Try = at(8.05), "r2"
+			r.Arrivals = append(r.Arrivals, a)
+		},
+	} {
+		r := clean()
+		change(r)
+		if v := Judge(r); !v.Kept() {
+			t.Errorf("%s: %v", name, v.Broken)
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"cometpond/internal/sexp"
 	"cometpond/policy"
 )
 
@@ -112,7 +113,7 @@
 
 // Parse is Load for a text; path is used in errors.
 func Parse(path, text string) (*Config, error) {
-	f, err := parser.ParseString(path, text)
+	f, err := sexp.Parse(path, text)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -122,213 +123,204 @@
 		Backend: Backend{Connections: 16, Pipeline: 8, Connect: 250 * time.Millisecond, Load: "probe", Attempts: 3,
 			Parallel: true},
 	}
-	r := &reader{}
+	r := &sexp.Reader{}
 	c.read(r, f)
-	if r.err != nil {
-		return nil, fmt.Errorf("settings: %w", r.err)
+	if r.Err != nil {
+		return nil, fmt.Errorf("settings: %w", r.Err)
 	}
 	return c, nil
 }
 
 // read takes in the file: what other parts refer to by name comes first, wherever it stands.
-func (c *Config) read(r *reader, f *file) {
+func (c *Config) read(r *sexp.Reader, f *sexp.File) {
 	order := []string{"ingress", "instances", "classes", "plans", "rules", "front", "backend", "boxes", "discovery",
 		"commands", "clients"}
-	top := &node{}
+	top := &sexp.Node{}
 	if len(f.Forms) > 0 {
 		top = f.Forms[0]
 	}
-	var known []field
-	found := map[string]*node{}
+	var known []sexp.Field
+	found := map[string]*sexp.Node{}
 	for _, name := range order {
-		known = append(known, field{name, name == "ingress" || name == "classes" || name == "plans", false,
-			func(_ *reader, n *node) { found[name] = n }})
+		known = append(known, sexp.Field{Name: name, Required: name == "ingress" || name == "classes" || name == "plans",
+			Read: func(_ *sexp.Reader, n *sexp.Node) { found[name] = n }})
 	}
-	r.fields(top, "file", f.Forms, known)
+	r.Fields(top, "file", f.Forms, known)
 	for _, name := range order {
-		if n := found[name]; n != nil && r.err == nil {
+		if n := found[name]; n != nil && r.Err == nil {
 			c.section(r, name, n)
 		}
 	}
-	if r.err == nil {
+	if r.Err == nil {
 		c.whole(r, found)
 	}
 }
 
-func (c *Config) section(r *reader, name string, n *node) {
+func (c *Config) section(r *sexp.Reader, name string, n *sexp.Node) {
 	switch name {
 	case "ingress":
-		r.fields(n, name, n.args(), []field{
-			intField("me", true, &c.Me, 0, 1023), textField("zone", true, &c.Zone), addressField("listen", true, &c.Listen),
-			intField("loops", false, &c.Loops, 1, 64), timeField("drain", false, &c.Drain, 0, 5*time.Minute)})
+		r.Fields(n, name, n.Args(), []sexp.Field{
+			sexp.IntField("me", true, &c.Me, 0, 1023), sexp.TextField("zone", true, &c.Zone), addressField("listen", true, &c.Listen),
+			sexp.IntField("loops", false, &c.Loops, 1, 64), sexp.TimeField("drain", false, &c.Drain, 0, 5*time.Minute)})
 	case "instances":
-		r.fields(n, name, n.args(), []field{{"instance", true, true, c.instance}, {"key", false, false, c.peerKey}})
+		r.Fields(n, name, n.Args(), []sexp.Field{{Name: "instance", Required: true, Many: true, Read: c.instance}, {Name: "key", Read: c.peerKey}})
 	case "classes":
-		r.fields(n, name, n.args(), []field{{"class", true, true, c.class}})
+		r.Fields(n, name, n.Args(), []sexp.Field{{Name: "class", Required: true, Many: true, Read: c.class}})
 	case "plans":
-		r.fields(n, name, n.args(), []field{{"plan", true, true, c.plan}})
+		r.Fields(n, name, n.Args(), []sexp.Field{{Name: "plan", Required: true, Many: true, Read: c.plan}})
 	case "rules":
-		r.fields(n, name, n.args(), []field{
-			secondsField("answer-slack", false, &c.Rules.AnswerSlackS, 0, time.Second),
-			numField("cold-from", false, &c.Rules.ColdFrom, 0, 1), secondsField("cold", false, &c.Rules.ColdS, 0, time.Hour),
-			numField("fall-multiple", false, &c.Rules.FallMultiple, 1, 100),
-			secondsField("fall", false, &c.Rules.FallS, 0, time.Minute)})
+		r.Fields(n, name, n.Args(), []sexp.Field{
+			sexp.SecondsField("answer-slack", false, &c.Rules.AnswerSlackS, 0, time.Second),
+			sexp.NumField("cold-from", false, &c.Rules.ColdFrom, 0, 1), sexp.SecondsField("cold", false, &c.Rules.ColdS, 0, time.Hour),
+			sexp.NumField("fall-multiple", false, &c.Rules.FallMultiple, 1, 100),
+			sexp.SecondsField("fall", false, &c.Rules.FallS, 0, time.Minute)})
 	case "front":
-		r.fields(n, name, n.args(), []field{
-			intField("connections", false, &c.Front.Connections, 1, 1<<20), intField("bulk", false, &c.Front.Bulk, 64, 64<<20),
-			intField("pipeline", false, &c.Front.Pipeline, 1, 1<<16), intField("output", false, &c.Front.Output, 1<<10, 1<<30),
-			timeField("partial", false, &c.Front.Partial, 100*time.Millisecond, time.Hour)})
+		r.Fields(n, name, n.Args(), []sexp.Field{
+			sexp.IntField("connections", false, &c.Front.Connections, 1, 1<<20), sexp.IntField("bulk", false, &c.Front.Bulk, 64, 64<<20),
+			sexp.IntField("pipeline", false, &c.Front.Pipeline, 1, 1<<16), sexp.IntField("output", false, &c.Front.Output, 1<<10, 1<<30),
+			sexp.TimeField("partial", false, &c.Front.Partial, 100*time.Millisecond, time.Hour)})
 	case "backend":
 		loads := []string{"probe", "answer", "none"}
 		yes := 1
-		r.fields(n, name, n.args(), []field{
-			intField("connections", false, &c.Backend.Connections, 1, 1024), intField("pipeline", false, &c.Backend.Pipeline, 1, 1024),
-			timeField("connect", false, &c.Backend.Connect, time.Millisecond, time.Minute),
-			choiceField("load", false, &c.Backend.Load, loads, loads),
-			intField("attempts", false, &c.Backend.Attempts, 1, 16),
-			choiceField("parallel", false, &yes, []string{"yes", "no"}, []int{1, 0})})
+		r.Fields(n, name, n.Args(), []sexp.Field{
+			sexp.IntField("connections", false, &c.Backend.Connections, 1, 1024), sexp.IntField("pipeline", false, &c.Backend.Pipeline, 1, 1024),
+			sexp.TimeField("connect", false, &c.Backend.Connect, time.Millisecond, time.Minute),
+			sexp.ChoiceField("load", false, &c.Backend.Load, loads, loads),
+			sexp.IntField("attempts", false, &c.Backend.Attempts, 1, 16),
+			sexp.ChoiceField("parallel", false, &yes, []string{"yes", "no"}, []int{1, 0})})
 		c.Backend.Parallel = yes == 1
 	case "boxes":
-		r.fields(n, name, n.args(), []field{{"box", true, true, c.box}})
+		r.Fields(n, name, n.Args(), []sexp.Field{{Name: "box", Required: true, Many: true, Read: c.box}})
 	case "discovery":
 		d := &Discovery{}
-		r.fields(n, name, n.args(), []field{{"server", true, true, func(r *reader, n *node) {
-			d.Servers = append(d.Servers, r.address(r.one(n, "ADDRESS"), "server"))
-		}}, textField("cluster", true, &d.Cluster), textField("keep", false, &d.Keep)})
+		r.Fields(n, name, n.Args(), []sexp.Field{{Name: "server", Required: true, Many: true, Read: func(r *sexp.Reader, n *sexp.Node) {
+			d.Servers = append(d.Servers, address(r, r.One(n, "ADDRESS"), "server"))
+		}}, sexp.TextField("cluster", true, &d.Cluster), sexp.TextField("keep", false, &d.Keep)})
 		c.Discovery = d
 	case "commands":
-		r.fields(n, name, n.args(), []field{{"command", false, true, c.command}, {"throttle", false, false,
-			func(r *reader, n *node) {
-				r.fields(n, "throttle", n.args(), []field{{"class", true, false, func(r *reader, n *node) {
-					c.Throttle = c.classOf(r, r.one(n, "CLASS"))
-				}}})
+		r.Fields(n, name, n.Args(), []sexp.Field{{Name: "command", Many: true, Read: c.command}, {Name: "throttle", Read: func(r *sexp.Reader, n *sexp.Node) {
+			r.Fields(n, "throttle", n.Args(), []sexp.Field{{Name: "class", Required: true, Read: func(r *sexp.Reader, n *sexp.Node) {
+				c.Throttle = c.classOf(r, r.One(n, "CLASS"))
 			}}})
+		}}})
 	case "clients":
-		r.fields(n, name, n.args(), []field{{"client", true, true, c.client()}})
-	}
-}
-
-// named reads the name that a list begins with and returns it with the rest.
-func (r *reader) named(n *node) (string, []*node) {
-	if len(n.args()) == 0 {
-		r.fail(n, n.head(), "holds nothing, want (%s NAME ..)", n.head())
-		return "", nil
+		r.Fields(n, name, n.Args(), []sexp.Field{{Name: "client", Required: true, Many: true, Read: c.client()}})
 	}
-	return r.name(n.args()[0], n.head()), n.args()[1:]
 }
 
-func (r *reader) address(n *node, field string) string {
-	a := r.name(n, field)
+func address(r *sexp.Reader, n *sexp.Node, field string) string {
+	a := r.Name(n, field)
 	if host, port, err := net.SplitHostPort(a); err != nil || port == "" || host == "" {
-		r.fail(n, field, "%s is no address, want host:port, as \"127.0.0.1:7379\"", n)
+		r.Fail(n, field, "%s is no address, want host:port, as \"127.0.0.1:7379\"", n)
 	}
 	return a
 }
 
-func addressField(name string, required bool, to *string) field {
-	return field{name, required, false, func(r *reader, n *node) { *to = r.address(r.one(n, "ADDRESS"), name) }}
+func addressField(name string, required bool, to *string) sexp.Field {
+	return sexp.Field{Name: name, Required: required,
+		Read: func(r *sexp.Reader, n *sexp.Node) { *to = address(r, r.One(n, "ADDRESS"), name) }}
 }
 
-func (c *Config) instance(r *reader, n *node) {
-	a := n.args()
+func (c *Config) instance(r *sexp.Reader, n *sexp.Node) {
+	a := n.Args()
 	if len(a) != 2 {
-		r.fail(n, "instance", "holds %d values, want (instance NUMBER PEER-ADDRESS)", len(a))
+		r.Fail(n, "instance", "holds %d values, want (instance NUMBER PEER-ADDRESS)", len(a))
 		return
 	}
-	i := Instance{r.whole(a[0], "instance", 0, 1023), r.address(a[1], "instance")}
+	i := Instance{r.Whole(a[0], "instance", 0, 1023), address(r, a[1], "instance")}
 	if i.Number != len(c.Instances) {
-		r.fail(a[0], "instance", "number %d, want %d: instances are numbered from 0, in order", i.Number, len(c.Instances))
+		r.Fail(a[0], "instance", "number %d, want %d: instances are numbered from 0, in order", i.Number, len(c.Instances))
 	}
 	c.Instances = append(c.Instances, i)
 }
 
-func (c *Config) peerKey(r *reader, n *node) {
-	a := r.one(n, "HEX")
-	key, err := hex.DecodeString(strings.TrimSpace(r.name(a, "key")))
-	if r.err == nil && (err != nil || len(key) != 32) {
-		r.fail(a, "key", "want 64 hex digits, as `openssl rand -hex 32` prints them")
+func (c *Config) peerKey(r *sexp.Reader, n *sexp.Node) {
+	a := r.One(n, "HEX")
+	key, err := hex.DecodeString(strings.TrimSpace(r.Name(a, "key")))
+	if r.Err == nil && (err != nil || len(key) != 32) {
+		r.Fail(a, "key", "want 64 hex digits, as `openssl rand -hex 32` prints them")
 	}
 	c.PeerKey = key
 }
 
-func (c *Config) class(r *reader, n *node) {
+func (c *Config) class(r *sexp.Reader, n *sexp.Node) {
 	k := policy.Class{Worth: 1}
-	name, rest := r.named(n)
+	name, rest := r.Named(n)
 	k.Name = name
-	r.fields(n, "class "+name, rest, []field{
-		secondsField("aim", true, &k.AimS, time.Millisecond, time.Hour),
-		secondsField("deadline", true, &k.DeadlineS, time.Millisecond, time.Hour),
-		numField("worth", false, &k.Worth, 0, 1e6), numField("late-worth", false, &k.LateWorth, 0, 1),
-		choiceField("effect", true, &k.Effect, []string{"safe", "keyed", "unsafe"},
+	r.Fields(n, "class "+name, rest, []sexp.Field{
+		sexp.SecondsField("aim", true, &k.AimS, time.Millisecond, time.Hour),
+		sexp.SecondsField("deadline", true, &k.DeadlineS, time.Millisecond, time.Hour),
+		sexp.NumField("worth", false, &k.Worth, 0, 1e6), sexp.NumField("late-worth", false, &k.LateWorth, 0, 1),
+		sexp.ChoiceField("effect", true, &k.Effect, []string{"safe", "keyed", "unsafe"},
 			[]policy.Effect{policy.Safe, policy.Keyed, policy.Unsafe}),
-		choiceField("key-scope", false, &k.KeyScope, []string{"all", "zone", "cell"},
+		sexp.ChoiceField("key-scope", false, &k.KeyScope, []string{"all", "zone", "cell"},
 			[]policy.Scope{policy.ScopeAll, policy.ScopeZone, policy.ScopeCell}),
-		secondsField("key-ttl", false, &k.KeyTTLS, 0, time.Hour)})
+		sexp.SecondsField("key-ttl", false, &k.KeyTTLS, 0, time.Hour)})
 	if k.AimS > k.DeadlineS {
-		r.fail(n, "class "+name+" aim", "is after the deadline, want it no later")
+		r.Fail(n, "class "+name+" aim", "is after the deadline, want it no later")
 	}
 	if (k.Effect == policy.Keyed) != (k.KeyTTLS > 0) {
-		r.fail(n, "class "+name+" key-ttl", "goes with (effect keyed), want both or neither")
+		r.Fail(n, "class "+name+" key-ttl", "goes with (effect keyed), want both or neither")
 	}
 	for _, o := range c.Classes {
 		if o.Name == name {
-			r.fail(n, "class "+name, "given twice, want one class a name")
+			r.Fail(n, "class "+name, "given twice, want one class a name")
 		}
 	}
 	c.Classes = append(c.Classes, k)
 }
 
-func (c *Config) plan(r *reader, n *node) {
+func (c *Config) plan(r *sexp.Reader, n *sexp.Node) {
 	p := policy.Plan{Price: 1, ExcessCost: 1}
-	name, rest := r.named(n)
+	name, rest := r.Named(n)
 	p.Name = name
 	where := "plan " + name
-	r.fields(n, where, rest, []field{
-		numField("rate", false, &p.Rate, 0.001, mostRate), numField("burst", false, &p.Burst, 1, mostBurst),
-		intField("parallel", false, &p.Parallel, 1, 65000), numField("price", false, &p.Price, 0, 1e6),
-		numField("excess-cost", false, &p.ExcessCost, 0, 100), numField("extra-worth", false, &p.ExtraWorth, 0, 1),
-		{"ceiling", false, false, func(r *reader, n *node) {
-			r.fields(n, where+" ceiling", n.args(), []field{numField("rate", true, &p.CeilingRate, 0.001, mostRate),
-				numField("burst", true, &p.CeilingBurst, 1, mostBurst), numField("slack", false, &p.CeilingSlack, 0, mostBurst)})
+	r.Fields(n, where, rest, []sexp.Field{
+		sexp.NumField("rate", false, &p.Rate, 0.001, mostRate), sexp.NumField("burst", false, &p.Burst, 1, mostBurst),
+		sexp.IntField("parallel", false, &p.Parallel, 1, 65000), sexp.NumField("price", false, &p.Price, 0, 1e6),
+		sexp.NumField("excess-cost", false, &p.ExcessCost, 0, 100), sexp.NumField("extra-worth", false, &p.ExtraWorth, 0, 1),
+		{Name: "ceiling", Read: func(r *sexp.Reader, n *sexp.Node) {
+			r.Fields(n, where+" ceiling", n.Args(), []sexp.Field{sexp.NumField("rate", true, &p.CeilingRate, 0.001, mostRate),
+				sexp.NumField("burst", true, &p.CeilingBurst, 1, mostBurst), sexp.NumField("slack", false, &p.CeilingSlack, 0, mostBurst)})
 		}}})
 	if p.Rate > 0 && p.Burst == 0 || p.Rate == 0 && p.Burst > 0 {
-		r.fail(n, where, "want (rate ..) and (burst ..) together, or neither")
+		r.Fail(n, where, "want (rate ..) and (burst ..) together, or neither")
 	}
 	if p.CeilingRate > 0 && p.CeilingRate < p.Rate {
-		r.fail(n, where+" ceiling", "rate %g is below the plan's %g, want it no less", p.CeilingRate, p.Rate)
+		r.Fail(n, where+" ceiling", "rate %g is below the plan's %g, want it no less", p.CeilingRate, p.Rate)
 	}
 	if len(c.Plans) == mostPlans {
-		r.fail(n, where, "is one too many, want %d plans at most", mostPlans)
+		r.Fail(n, where, "is one too many, want %d plans at most", mostPlans)
 	}
 	for _, o := range c.Plans {
 		if o.Name == name {
-			r.fail(n, where, "given twice, want one plan a name")
+			r.Fail(n, where, "given twice, want one plan a name")
 		}
 	}
 	c.Plans = append(c.Plans, p)
 }
 
-func (c *Config) box(r *reader, n *node) {
+func (c *Config) box(r *sexp.Reader, n *sexp.Node) {
 	s := policy.Server{Weight: 1}
-	if len(n.args()) == 0 {
-		r.fail(n, "box", "holds nothing, want (box ADDRESS (zone NAME) ..)")
+	if len(n.Args()) == 0 {
+		r.Fail(n, "box", "holds nothing, want (box ADDRESS (zone NAME) ..)")
 		return
 	}
-	s.ID = r.address(n.args()[0], "box")
+	s.ID = address(r, n.Args()[0], "box")
 	where := "box " + s.ID
-	r.fields(n, where, n.args()[1:], []field{textField("zone", true, &s.Zone), intField("cell", false, &s.Cell, 0, 1<<20),
-		numField("weight", false, &s.Weight, 0.001, 1e6),
-		choiceField("state", false, &s.State, []string{"up", "draining"}, []policy.State{policy.Up, policy.Draining})})
+	r.Fields(n, where, n.Args()[1:], []sexp.Field{sexp.TextField("zone", true, &s.Zone), sexp.IntField("cell", false, &s.Cell, 0, 1<<20),
+		sexp.NumField("weight", false, &s.Weight, 0.001, 1e6),
+		sexp.ChoiceField("state", false, &s.State, []string{"up", "draining"}, []policy.State{policy.Up, policy.Draining})})
 	for _, o := range c.Boxes {
 		if o.ID == s.ID {
-			r.fail(n, where, "given twice, want each address once")
+			r.Fail(n, where, "given twice, want each address once")
 		}
 	}
 	c.Boxes = append(c.Boxes, s)
 }
 
-func (c *Config) classOf(r *reader, n *node) int {
-	name := r.name(n, "class")
+func (c *Config) classOf(r *sexp.Reader, n *sexp.Node) int {
+	name := r.Name(n, "class")
 	var names []string
 	for i, k := range c.Classes {
 		if k.Name == name {
@@ -336,68 +328,68 @@
 		}
 		names = append(names, k.Name)
 	}
-	r.fail(n, "class", "%s is not among the classes, want %s", n, strings.Join(names, " or "))
+	r.Fail(n, "class", "%s is not among the classes, want %s", n, strings.Join(names, " or "))
 	return 0
 }
 
-func (c *Config) command(r *reader, n *node) {
+func (c *Config) command(r *sexp.Reader, n *sexp.Node) {
 	k := Command{Units: 1, Class: -1}
-	name, rest := r.named(n)
+	name, rest := r.Named(n)
 	k.Name = strings.ToUpper(name)
 	where := "command " + name
-	r.fields(n, where, rest, []field{
-		{"class", true, false, func(r *reader, n *node) { k.Class = c.classOf(r, r.one(n, "CLASS")) }},
-		intField("arity", true, &k.Arity, -64, 64), intField("units", false, &k.Units, 1, mostUnits),
-		intField("units-at", false, &k.UnitsAt, 1, 63), intField("key-at", false, &k.KeyAt, 1, 63)})
+	r.Fields(n, where, rest, []sexp.Field{
+		{Name: "class", Required: true, Read: func(r *sexp.Reader, n *sexp.Node) { k.Class = c.classOf(r, r.One(n, "CLASS")) }},
+		sexp.IntField("arity", true, &k.Arity, -64, 64), sexp.IntField("units", false, &k.Units, 1, mostUnits),
+		sexp.IntField("units-at", false, &k.UnitsAt, 1, 63), sexp.IntField("key-at", false, &k.KeyAt, 1, 63)})
 	least := max(k.Arity, -k.Arity)
 	switch {
-	case r.err != nil:
+	case r.Err != nil:
 	case least == 0:
-		r.fail(n, where+" arity", "is 0, want the number of words with the name, or less than 0 for at least so many")
+		r.Fail(n, where+" arity", "is 0, want the number of words with the name, or less than 0 for at least so many")
 	case k.UnitsAt >= least || k.KeyAt >= least:
-		r.fail(n, where, "units-at and key-at must name a word that always comes, want below %d", least)
+		r.Fail(n, where, "units-at and key-at must name a word that always comes, want below %d", least)
 	case (c.Classes[k.Class].Effect == policy.Keyed) != (k.KeyAt > 0):
-		r.fail(n, where+" key-at", "goes with a class of (effect keyed), want both or neither")
+		r.Fail(n, where+" key-at", "goes with a class of (effect keyed), want both or neither")
 	}
 	for _, o := range c.Commands {
 		if o.Name == k.Name {
-			r.fail(n, where, "given twice, want each name once")
+			r.Fail(n, where, "given twice, want each name once")
 		}
 	}
 	c.Commands = append(c.Commands, k)
 }
 
 // client returns the reader of clients, which finds names that come twice.
-func (c *Config) client() func(r *reader, n *node) {
+func (c *Config) client() func(r *sexp.Reader, n *sexp.Node) {
 	seen := map[string]bool{}
-	return func(r *reader, n *node) {
+	return func(r *sexp.Reader, n *sexp.Node) {
 		k := Client{Plan: -1}
-		name, rest := r.named(n)
+		name, rest := r.Named(n)
 		k.Name = name
 		where := "client " + name
-		r.fields(n, where, rest, []field{
-			{"plan", true, false, func(r *reader, n *node) { k.Plan = c.planOf(r, r.one(n, "PLAN")) }},
-			{"secret-sha256", true, false, func(r *reader, n *node) {
-				a := r.one(n, "HEX")
-				sum, err := hex.DecodeString(r.name(a, "secret-sha256"))
-				if r.err == nil && (err != nil || len(sum) != sha256.Size) {
-					r.fail(a, "secret-sha256", "want 64 hex digits, as `cometpond secret` prints them")
+		r.Fields(n, where, rest, []sexp.Field{
+			{Name: "plan", Required: true, Read: func(r *sexp.Reader, n *sexp.Node) { k.Plan = c.planOf(r, r.One(n, "PLAN")) }},
+			{Name: "secret-sha256", Required: true, Read: func(r *sexp.Reader, n *sexp.Node) {
+				a := r.One(n, "HEX")
+				sum, err := hex.DecodeString(r.Name(a, "secret-sha256"))
+				if r.Err == nil && (err != nil || len(sum) != sha256.Size) {
+					r.Fail(a, "secret-sha256", "want 64 hex digits, as `cometpond secret` prints them")
 				}
 				copy(k.Secret[:], sum)
 			}}})
 		if seen[name] {
-			r.fail(n, where, "given twice, want each name once")
+			r.Fail(n, where, "given twice, want each name once")
 		}
 		if strings.ContainsAny(name, " \t\r\n") {
-			r.fail(n, where, "holds white space, want a name without")
+			r.Fail(n, where, "holds white space, want a name without")
 		}
 		seen[name] = true
 		c.Clients = append(c.Clients, k)
 	}
 }
 
-func (c *Config) planOf(r *reader, n *node) int {
-	name := r.name(n, "plan")
+func (c *Config) planOf(r *sexp.Reader, n *sexp.Node) int {
+	name := r.Name(n, "plan")
 	var names []string
 	for i, p := range c.Plans {
 		if p.Name == name {
@@ -405,24 +397,24 @@
 		}
 		names = append(names, p.Name)
 	}
-	r.fail(n, "plan", "%s is not among the plans, want %s", n, strings.Join(names, " or "))
+	r.Fail(n, "plan", "%s is not among the plans, want %s", n, strings.Join(names, " or "))
 	return 0
 }
 
 // whole checks what several sections say together.
-func (c *Config) whole(r *reader, found map[string]*node) {
+func (c *Config) whole(r *sexp.Reader, found map[string]*sexp.Node) {
 	n := found["ingress"]
 	if c.Boxes == nil && c.Discovery == nil {
-		r.fail(n, "file", "no boxes, want (boxes ..) or (discovery ..)")
+		r.Fail(n, "file", "no boxes, want (boxes ..) or (discovery ..)")
 	}
 	if c.Boxes != nil && c.Discovery != nil {
-		r.fail(found["boxes"], "boxes", "stands beside (discovery ..), want one of them")
+		r.Fail(found["boxes"], "boxes", "stands beside (discovery ..), want one of them")
 	}
 	if len(c.Instances) == 0 && c.Me != 0 || len(c.Instances) > 0 && c.Me >= len(c.Instances) {
-		r.fail(n, "ingress me", "is %d, want the number of one of the %d instances", c.Me, max(1, len(c.Instances)))
+		r.Fail(n, "ingress me", "is %d, want the number of one of the %d instances", c.Me, max(1, len(c.Instances)))
 	}
 	if len(c.Instances) > 1 && c.PeerKey == nil {
-		r.fail(found["instances"], "instances", "(key ..) is missing: several instances share one to seal their messages")
+		r.Fail(found["instances"], "instances", "(key ..) is missing: several instances share one to seal their messages")
 	}
 	if c.Throttle < 0 { // the class worth most: nobody's dearer work is kept from limits
 		c.Throttle = 0
--- a/internal/day/day.go
+++ /dev/null
@@ -1,1 +0,0 @@
-package day
--- /dev/null
+++ b/internal/day/play.go
@@ -0,0 +1,252 @@
+package day
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cometpond/internal/audit"
+	"cometpond/internal/standin"
+	"cometpond/policy"
+)
+
+// Options say how a day is played.
+type Options struct {
+	Serve  func(file string) *exec.Cmd // the command that runs an instance with a settings file
+	Output io.Writer                   // what the instances print
+	Log    zerolog.Logger
+}
+
+// Play plays a day and returns the verdict. An error means that the day could not be played.
+func Play(ctx context.Context, s *Script, opt Options) (*audit.Verdict, error) {
+	f, err := newFleet(s, opt)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	for i := range s.Instances {
+		if err := f.start(i); err != nil {
+			return nil, err
+		}
+	}
+	up, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	for i := range s.Instances {
+		if err := f.ready(up, i); err != nil {
+			return nil, err
+		}
+	}
+	opt.Log.Info().Int("instances", s.Instances).Int("boxes", s.Boxes).Float64("rate", s.Rate).Dur("for", s.For).Msg("the day begins")
+	span, done := context.WithTimeout(ctx, s.For)
+	defer done()
+	l := newLoad(f)
+	p := &play{f: f, l: l, log: opt.Log, failed: make(chan error, len(s.Events)+1)}
+	p.begin(span)
+	l.run(span)
+	p.work.Wait()
+	select {
+	case err := <-p.failed:
+		return nil, err
+	default:
+	}
+	if ctx.Err() != nil {
+		return nil, errors.New("the day was cut short")
+	}
+	if err := f.stop(); err != nil {
+		return nil, err
+	}
+	return audit.Judge(p.record()), nil
+}
+
+// play carries out the script.
+type play struct {
+	f      *fleet
+	l      *load
+	log    zerolog.Logger
+	work   sync.WaitGroup
+	failed chan error
+}
+
+func (p *play) record() *audit.Record {
+	f := p.f
+	r := &audit.Record{Classes: f.cfg.Classes, Plans: f.cfg.Plans, PlanOf: map[string]string{}, Tries: p.l.tries,
+		Arrivals: f.arrivals, Notices: f.notices(), Falls: f.falls, DrainGrace: 2 * time.Second}
+	for _, list := range [][]*client{f.clients, f.fresh} {
+		for _, c := range list {
+			r.PlanOf[c.name] = c.plan
+		}
+	}
+	return r
+}
+
+// begin starts a goroutine for each trouble; they end with the day.
+func (p *play) begin(ctx context.Context) {
+	start := time.Now()
+	for i, e := range p.f.s.Events {
+		p.work.Add(1)
+		go func() {
+			defer p.work.Done()
+			if !pause(ctx, time.Until(start.Add(e.At))) {
+				return
+			}
+			p.log.Info().Str("trouble", e.Kind).Float64("size", e.Size).Dur("for", e.For).Msg("trouble begins")
+			if err := p.trouble(ctx, e, i); err != nil {
+				p.failed <- fmt.Errorf("(%s %g) at %v: %w", e.Kind, e.Size, e.At, err)
+			}
+		}()
+	}
+}
+
+// pause waits; false if the day is over first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// noticeAfter is how long the list takes to tell what has become of a box.
+const noticeAfter = 500 * time.Millisecond
+
+// some returns the indices of n boxes, others for each trouble.
+func (p *play) some(n, salt int) []int {
+	var list []int
+	for i := range min(n, len(p.f.boxes)) {
+		list = append(list, (salt*5+i*7)%len(p.f.boxes))
+	}
+	return list
+}
+
+func (p *play) each(list []int, f func(*standin.Box)) {
+	for _, i := range list {
+		f(p.f.boxes[i])
+	}
+}
+
+// back restarts boxes cold and has the list say so.
+func (p *play) back(list []int) error {
+	for _, i := range list {
+		if err := p.f.boxes[i].Up(); err != nil {
+			return err
+		}
+	}
+	now := float64(time.Now().UnixNano()) / 1e9
+	p.f.push(func(s []policy.Server) {
+		for _, i := range list {
+			s[i].State, s[i].SinceS = policy.Up, now
+		}
+	})
+	return nil
+}
+
+func (p *play) mark(list []int, state policy.State) {
+	p.f.push(func(s []policy.Server) {
+		for _, i := range list {
+			s[i].State = state
+		}
+	})
+}
+
+// trouble carries out one event and takes it back at its end.
+func (p *play) trouble(ctx context.Context, e Event, salt int) error {
+	f, l, n := p.f, p.l, int(e.Size)
+	while := func(on, off func()) error {
+		on()
+		pause(ctx, e.For)
+		off()
+		return nil
+	}
+	set := func(f func()) func() { return func() { l.mu.Lock(); defer l.mu.Unlock(); f() } }
+	switch e.Kind {
+	case "kill":
+		return f.kill(ctx, n, e.For)
+	case "stall":
+		f.mu.Lock()
+		proc := f.procs[n]
+		f.mu.Unlock()
+		signal := func(s syscall.Signal) func() { return func() { _ = proc.cmd.Process.Signal(s) } }
+		return while(signal(syscall.SIGSTOP), signal(syscall.SIGCONT))
+	case "silent", "dark":
+		var list []int
+		if e.Kind == "silent" {
+			list = p.some(n, salt)
+			p.each(list, func(b *standin.Box) { b.Silent(true) })
+		} else {
+			for i := range f.boxes {
+				if i%f.s.Rooms == n {
+					list = append(list, i)
+				}
+			}
+			p.each(list, (*standin.Box).Down)
+		}
+		if pause(ctx, min(noticeAfter, e.For/2)) {
+			p.mark(list, policy.Removed)
+		}
+		if !pause(ctx, e.For-min(noticeAfter, e.For/2)) {
+			return nil
+		}
+		if e.Kind == "silent" {
+			p.each(list, (*standin.Box).Down)
+		}
+		return p.back(list)
+	case "reset":
+		p.each(p.some(n, salt), (*standin.Box).Reset)
+	case "slow":
+		all := p.some(len(f.boxes), 0)
+		return while(func() { p.each(all, func(b *standin.Box) { b.Slow(e.Size) }) }, func() { p.each(all, func(b *standin.Box) { b.Slow(1) }) })
+	case "age":
+		list := p.some(n, salt)
+		for i := 1; i <= 10 && pause(ctx, e.For/10); i++ {
+			p.each(list, func(b *standin.Box) { b.Slow(float64(i)) })
+		}
+		p.each(list, func(b *standin.Box) { b.Slow(1) })
+	case "mute":
+		list := p.some(n, salt)
+		return while(func() { p.each(list, func(b *standin.Box) { b.Mute("JOB.STATUS") }) },
+			func() { p.each(list, func(b *standin.Box) { b.Mute("") }) })
+	case "drain":
+		list := p.some(n, salt)
+		p.mark(list, policy.Draining)
+		if pause(ctx, e.For) {
+			p.mark(list, policy.Up)
+		}
+	case "flood":
+		c := f.clients[len(f.clients)-1]
+		rate := 0.0
+		for _, k := range f.cfg.Plans {
+			if k.Name == c.plan {
+				rate = k.Rate * e.Size
+			}
+		}
+		return while(set(func() { l.flood[c] = rate }), set(func() { delete(l.flood, c) }))
+	case "burst":
+		return while(set(func() { l.factor = e.Size }), set(func() { l.factor = 1 }))
+	case "scan":
+		return while(set(func() { l.scan = e.Size }), set(func() { l.scan = 0 }))
+	case "heavy":
+		to := func(x float64) func() { return func() { f.mu.Lock(); defer f.mu.Unlock(); f.heavy = x } }
+		return while(to(e.Size), to(1))
+	case "move":
+		l.move(e.Size)
+	case "lossy":
+		return while(func() { f.relay.Lose(e.Size) }, func() { f.relay.Lose(0) })
+	case "split":
+		part := make([]int, f.s.Instances)
+		for i := range part {
+			part[i] = i % n
+		}
+		return while(func() { f.relay.Split(part) }, func() { f.relay.Split(make([]int, f.s.Instances)) })
+	}
+	return nil
+}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -59,9 +59,10 @@
 	Params Params
 	Jobs   map[string]Job // by command, in upper case
 	Seed   uint64
-	Memory *Memory       // shared by the boxes of a room
-	Saw    func(Arrival) // called for each command that is a job, one at a time
-	Load   string        // "answer": load rides on answers; else INFO tells it
+	Memory *Memory                // shared by the boxes of a room
+	Saw    func(Arrival)          // called for each command that is a job, one at a time
+	Load   string                 // "answer": load rides on answers; else INFO tells it
+	Extra  func(n uint64) float64 // times the usual work that the n-th request costs, nil for none
 }
 
 // Box is a stand-in of a queue box on a TCP address.
@@ -75,6 +76,8 @@
 	ln     net.Listener
 	conns  map[net.Conn]struct{}
 	silent bool
+	mute   string // a command that stays unanswered
+	jobs   uint64
 	base   time.Time
 	fell   time.Time
 	work   sync.WaitGroup
@@ -135,6 +138,7 @@
 type reply struct {
 	at   time.Time
 	text []byte
+	mute bool
 }
 
 func reset(c net.Conn) {
@@ -211,7 +215,7 @@
 		b.mu.Lock()
 		silent := b.silent
 		b.mu.Unlock()
-		if silent {
+		if silent || r.mute {
 			continue
 		}
 		if _, err := c.Write(r.text); err != nil && !errors.Is(err, io.EOF) {
@@ -231,6 +235,7 @@
 	at := time.Now()
 	a := Arrival{At: at, Box: b.addr, Instance: instance, Words: words}
 	r := b.run(at, j, words, &a)
+	r.mute = words[0] == b.mute
 	if b.opt.Saw != nil {
 		b.opt.Saw(a)
 	}
@@ -245,10 +250,13 @@
 		mem.mu.Lock()
 		defer mem.mu.Unlock()
 		if seen, ok := mem.seen[key]; ok && at.Sub(seen.at).Seconds() <= j.KeyS {
-			return reply{seen.doneAt, []byte(seen.reply)}
+			return reply{at: seen.doneAt, text: []byte(seen.reply)}
 		}
 	}
 	work := j.Work * math.Max(0.2, b.rng.ExpFloat64()*0.5+0.5)
+	if b.jobs++; b.opt.Extra != nil {
+		work *= b.opt.Extra(b.jobs)
+	}
 	done, ruling := b.model.Offer(b.now(), work)
 	a.Ruling = ruling
 	switch ruling {
@@ -267,7 +275,7 @@
 	if key != "" {
 		mem.seen[key] = remembered{at, doneAt, text}
 	}
-	return reply{doneAt, []byte(text)}
+	return reply{at: doneAt, text: []byte(text)}
 }
 
 func (b *Box) util() string {
@@ -290,6 +298,13 @@
 	b.silent = on
 }
 
+// Mute leaves one command unanswered, and those behind it on its connection; "" for none.
+func (b *Box) Mute(command string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.mute = command
+}
+
 // Slow makes all work take so many times as long.
 func (b *Box) Slow(factor float64) {
 	b.mu.Lock()
