--- a/internal/standin/eds.go
+++ b/internal/standin/eds.go
@@ -34,6 +34,7 @@
 	mu      sync.Mutex
 	version int
 	lists   map[int][]policy.Server // by version
+	pushed  []time.Time             // when each version came, from 1 on
 	told    []Told
 	changed chan struct{} // closed when there is a new version
 }
@@ -60,16 +61,20 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.version++
+	e.pushed = append(e.pushed, time.Now())
 	e.lists[e.version] = append([]policy.Server(nil), list...)
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
 
-// List returns the list of a version.
-func (e *EDS) List(version int) []policy.Server {
+// Pushed returns the lists so far, the first of version 1, with the times at which they were set.
+func (e *EDS) Pushed() (lists [][]policy.Server, at []time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.lists[version]
+	for v := 1; v <= e.version; v++ {
+		lists = append(lists, e.lists[v])
+	}
+	return lists, append([]time.Time(nil), e.pushed...)
 }
 
 // Told returns the acknowledgements so far, in order.
