--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -82,6 +82,7 @@
 	c       gnet.Conn // nil until it is open
 	probe   bool
 	flights []*flight // in the order of the answers to come
+	setups  int       // of them, this end's own greeting
 	dead    int       // of them, given up
 	closed  bool
 }
@@ -217,12 +218,12 @@
 // order of the commands, so one that holds an attempt given up may be held up by it and takes no more.
 func (b *box) pick() (idle, next *link) {
 	for _, l := range b.links {
-		n := len(l.flights)
+		n := len(l.flights) - l.setups
 		switch {
 		case l.c == nil || l.closed || l.dead > 0:
 		case n == 0:
 			return l, l
-		case n < b.pool.opt.Pipeline && (next == nil || n < len(next.flights)):
+		case n < b.pool.opt.Pipeline && (next == nil || n < len(next.flights)-next.setups):
 			next = l
 		}
 	}
@@ -277,13 +278,10 @@
 		return
 	}
 	b.dialing--
+	b.share()
 	var lost []core.Result
-	if b.dialing == 0 {
+	if b.dialing == 0 && len(b.links) == 0 {
 		for _, f := range b.waiting {
-			if _, next := b.pick(); next != nil {
-				next.write(f)
-				continue
-			}
 			delete(b.flights, f.attempt)
 			lost = append(lost, core.Result{Attempt: f.attempt, Status: policy.ConnectFailed})
 		}
@@ -336,12 +334,15 @@
 	defer b.mu.Unlock()
 	l.c = c
 	var out []byte
-	if p.opt.Load == "answer" { // load rides on answers as an attribute, which version 3 alone has
-		out = resp.AppendCommand(out, "HELLO", "3")
+	greet := func(words ...string) {
+		out = resp.AppendCommand(out, words...)
 		l.flights = append(l.flights, &flight{setup: true})
+		l.setups++
 	}
-	out = resp.AppendCommand(out, "CLIENT", "SETNAME", p.opt.Name)
-	l.flights = append(l.flights, &flight{setup: true})
+	if p.opt.Load == "answer" { // load rides on answers as an attribute, which version 3 alone has
+		greet("HELLO", "3")
+	}
+	greet("CLIENT", "SETNAME", p.opt.Name)
 	if l.probe {
 		b.probe = l
 		l.flights = append(l.flights, &flight{})
@@ -349,19 +350,24 @@
 	}
 	b.dialing--
 	b.links = append(b.links, l)
-	n := 1
-	if b.dialing == 0 {
-		n = p.opt.Pipeline
-	}
-	for ; n > 0 && len(b.waiting) > 0; n-- {
+	b.share()
+	return out, gnet.None
+}
+
+// share gives what waits to connections: one each as they open, and the rest in line once no more is to come.
+func (b *box) share() {
+	for len(b.waiting) > 0 {
+		idle, next := b.pick()
+		if idle == nil && (b.dialing > 0 || next == nil) {
+			return
+		}
 		f := b.waiting[0]
 		b.waiting = b.waiting[1:]
-		f.link = l
-		l.flights = append(l.flights, f)
-		out = append(out, f.payload...)
-		f.payload = nil
+		if idle == nil {
+			idle = next
+		}
+		idle.write(f)
 	}
-	return out, gnet.None
 }
 
 // OnTraffic matches answers to what they were awaited for.
@@ -435,16 +441,18 @@
 	}
 	f := l.flights[0]
 	l.flights = l.flights[1:]
+	if f.setup {
+		l.setups--
+	}
 	if f.dead {
 		l.dead--
 	} else if !f.setup && !l.probe {
 		delete(b.flights, f.attempt)
 	}
-	if len(l.flights) == 0 && len(b.waiting) > 0 && !l.closed && !l.probe {
-		w := b.waiting[0]
-		b.waiting = b.waiting[1:]
-		l.write(w)
+	if l.dead > 0 && l.dead == len(l.flights) {
+		l.close()
 	}
+	b.share()
 	return f, true
 }
 
@@ -479,6 +487,9 @@
 			break
 		}
 	}
+	if len(b.waiting) > 0 && len(b.links) == 0 && b.dialing == 0 {
+		b.dial(false)
+	}
 	wasProbe := b.probe == l
 	if wasProbe {
 		b.probe = nil
--- /dev/null
+++ b/internal/backend/backend_test.go
@@ -0,0 +1,313 @@
+package backend
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"cometpond/internal/config"
+	"cometpond/internal/core"
+	"cometpond/internal/resp"
+	"cometpond/policy"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
+		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"))
+}
+
+// sink collects what the pool tells.
+type sink struct {
+	results chan core.Result
+	probes  chan policy.ProbeResult
+}
+
+func (s *sink) Done(r ...core.Result) {
+	for _, x := range r {
+		s.results <- x
+	}
+}
+func (s *sink) Probed(p policy.ProbeResult) { s.probes <- p }
+
+// box is a listener whose connections are served by the test: each command that comes is handed to it.
+type peerBox struct {
+	ln   net.Listener
+	got  chan command
+	work sync.WaitGroup
+}
+
+type command struct {
+	c     net.Conn
+	words []string
+}
+
+func newPeerBox(t *testing.T) *peerBox {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &peerBox{ln: ln, got: make(chan command, 1000)}
+	b.work.Add(1)
+	go func() {
+		defer b.work.Done()
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			b.work.Add(1)
+			go b.serve(c)
+		}
+	}()
+	t.Cleanup(func() { ln.Close(); b.work.Wait() })
+	return b
+}
+
+func (b *peerBox) serve(c net.Conn) {
+	defer b.work.Done()
+	defer c.Close()
+	var buf []byte
+	chunk := make([]byte, 4096)
+	for {
+		args, n, _, err := resp.Command(buf, nil, resp.DefaultLimits)
+		if err != nil {
+			m, err := c.Read(chunk)
+			if err != nil {
+				return
+			}
+			buf = append(buf, chunk[:m]...)
+			continue
+		}
+		buf = buf[n:]
+		k := command{c: c}
+		for _, a := range args {
+			k.words = append(k.words, string(a))
+		}
+		switch k.words[0] {
+		case "CLIENT", "HELLO":
+			_, _ = c.Write([]byte("+OK\r\n"))
+		default:
+			b.got <- k
+		}
+	}
+}
+
+func (b *peerBox) next(t *testing.T) command {
+	t.Helper()
+	select {
+	case k := <-b.got:
+		return k
+	case <-time.After(20 * time.Second):
+		t.Fatal("nothing reached the box")
+		return command{}
+	}
+}
+
+func setup(t *testing.T, change func(*Options), addrs ...string) (*Pool, *sink) {
+	t.Helper()
+	s := &sink{make(chan core.Result, 1000), make(chan policy.ProbeResult, 100)}
+	o := Options{Backend: config.Backend{Connections: 2, Pipeline: 2, Connect: 5 * time.Second, Load: "probe"}, Name: "t", Loops: 1, Log: zerolog.Nop()}
+	if change != nil {
+		change(&o)
+	}
+	p, err := New(s, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []policy.Server
+	for _, a := range addrs {
+		list = append(list, policy.Server{ID: a})
+	}
+	p.Servers(list, true)
+	t.Cleanup(func() {
+		if err := p.Stop(); err != nil {
+			t.Error(err)
+		}
+	})
+	return p, s
+}
+
+func (s *sink) expect(t *testing.T, n int, status policy.Status, payload string) core.Result {
+	t.Helper()
+	select {
+	case r := <-s.results:
+		if r.Attempt.N != n || r.Status != status || string(r.Payload) != payload {
+			t.Fatalf("attempt %d ended as %d with %q, want attempt %d, %d, %q", r.Attempt.N, r.Status, r.Payload, n, status, payload)
+		}
+		return r
+	case <-time.After(20 * time.Second):
+		t.Fatalf("attempt %d has no end", n)
+	}
+	return core.Result{}
+}
+
+func attempt(n int) core.Attempt { return core.Attempt{N: n} }
+
+func do(n int) []byte { return resp.AppendCommand(nil, "DO", fmt.Sprint(n)) }
+
+func TestAnswersAndErrors(t *testing.T) {
+	b := newPeerBox(t)
+	p, s := setup(t, nil, b.ln.Addr().String())
+	for i, c := range []struct {
+		reply  string
+		status policy.Status
+	}{{"+OK\r\n", policy.OK}, {"*2\r\n:1\r\n$1\r\nx\r\n", policy.OK}, {"-ERR no such job\r\n", policy.OK}, {"-BUSY full\r\n", policy.Full},
+		{"-LOADING\r\n", policy.Full}, {"-TRYAGAIN later\r\n", policy.Error}, {"-INTERNAL oops\r\n", policy.Error}} {
+		p.Send(attempt(i), b.ln.Addr().String(), do(i))
+		k := b.next(t)
+		_, _ = k.c.Write([]byte(c.reply))
+		want := ""
+		if c.status == policy.OK {
+			want = c.reply
+		}
+		s.expect(t, i, c.status, want)
+	}
+}
+
+// Work goes over idle connections first, then in line behind other work, and no further than the bounds.
+func TestPipelineAndBounds(t *testing.T) {
+	b := newPeerBox(t)
+	addr := b.ln.Addr().String()
+	p, s := setup(t, nil, addr)
+	for i := range 4 {
+		p.Send(attempt(i), addr, do(i))
+	}
+	conns := map[net.Conn][]string{}
+	for range 4 {
+		k := b.next(t)
+		conns[k.c] = append(conns[k.c], k.words[1])
+	}
+	if len(conns) != 2 {
+		t.Fatalf("%d connections, want 2: %v", len(conns), conns)
+	}
+	p.Send(attempt(4), addr, do(4))
+	s.expect(t, 4, policy.Full, "")
+	for c, list := range conns {
+		for _, n := range list {
+			_, _ = c.Write([]byte("+" + n + "\r\n"))
+		}
+	}
+	for range 4 {
+		if r := <-s.results; string(r.Payload) != fmt.Sprintf("+%d\r\n", r.Attempt.N) {
+			t.Fatalf("attempt %d got %q", r.Attempt.N, r.Payload)
+		}
+	}
+}
+
+// What a connection's end proves: out on it, it may have run; never on it, it did not.
+func TestResetAndRefused(t *testing.T) {
+	b := newPeerBox(t)
+	addr := b.ln.Addr().String()
+	p, s := setup(t, nil, addr)
+	p.Send(attempt(0), addr, do(0))
+	b.next(t).c.Close()
+	s.expect(t, 0, policy.Reset, "")
+	b.ln.Close()
+	p.Send(attempt(1), addr, do(1))
+	s.expect(t, 1, policy.ConnectFailed, "")
+	p.Send(attempt(2), "127.0.0.1:1", do(2)) // not on the list
+	s.expect(t, 2, policy.ConnectFailed, "")
+}
+
+// A late answer is dropped, and the one behind it is not taken for it.
+func TestLateAnswer(t *testing.T) {
+	b := newPeerBox(t)
+	addr := b.ln.Addr().String()
+	p, s := setup(t, func(o *Options) { o.Connections = 1 }, addr)
+	p.Send(attempt(0), addr, do(0))
+	k := b.next(t)
+	p.Send(attempt(1), addr, do(1))
+	b.next(t)
+	p.Cancel(attempt(0), addr)
+	p.Send(attempt(2), addr, do(2)) // the only connection is held up by the one given up
+	s.expect(t, 2, policy.Full, "")
+	_, _ = k.c.Write([]byte("+zero\r\n+one\r\n"))
+	s.expect(t, 1, policy.OK, "+one\r\n")
+	if p.Counts().Late != 1 {
+		t.Errorf("%d late, want 1", p.Counts().Late)
+	}
+	p.Send(attempt(3), addr, do(3)) // and is free again
+	k = b.next(t)
+	_, _ = k.c.Write([]byte("+three\r\n"))
+	s.expect(t, 3, policy.OK, "+three\r\n")
+}
+
+// A connection on which nothing but given-up work is out is closed, so that the box can stop.
+func TestCancelClosesItsConnection(t *testing.T) {
+	b := newPeerBox(t)
+	addr := b.ln.Addr().String()
+	p, _ := setup(t, nil, addr)
+	p.Send(attempt(0), addr, do(0))
+	k := b.next(t)
+	p.Cancel(attempt(0), addr)
+	_ = k.c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	for end := time.Now().Add(20 * time.Second); p.Counts().Open > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connection stays open")
+		}
+	}
+}
+
+// A box that accepts and says nothing: the probe ends by time.
+func TestProbes(t *testing.T) {
+	b := newPeerBox(t)
+	addr := b.ln.Addr().String()
+	p, s := setup(t, func(o *Options) { o.Connect = 200 * time.Millisecond }, addr)
+	p.Probe(addr)
+	k := b.next(t)
+	if strings.Join(k.words, " ") != "INFO" {
+		t.Fatalf("got %v", k.words)
+	}
+	_, _ = k.c.Write(resp.AppendBulk(nil, "# Load\r\nutil:0.25\r\nqueue:3\r\nname:x\r\n"))
+	if r := <-s.probes; r.Status != policy.OK || r.Load == nil || r.Load.Util != 0.25 || r.Load.Queue != 3 || r.Load.InFlight != -1 {
+		t.Fatalf("%+v", r)
+	}
+	p.Probe(addr)
+	b.next(t)
+	if r := <-s.probes; r.Status != policy.Timeout || r.Server != addr {
+		t.Fatalf("%+v", r)
+	}
+	b.ln.Close()
+	for end := time.Now().Add(20 * time.Second); p.Counts().Open > 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	p.Probe(addr)
+	if r := <-s.probes; r.Status != policy.ConnectFailed {
+		t.Fatalf("%+v", r)
+	}
+}
+
+// Load that rides on answers is taken off them.
+func TestLoadWithAnswers(t *testing.T) {
+	b := newPeerBox(t)
+	addr := b.ln.Addr().String()
+	p, s := setup(t, func(o *Options) { o.Load = "answer" }, addr)
+	p.Send(attempt(0), addr, do(0))
+	_, _ = b.next(t).c.Write([]byte("|1\r\n+util\r\n,0.5\r\n+OK\r\n"))
+	if r := s.expect(t, 0, policy.OK, "+OK\r\n"); r.Load == nil || r.Load.Util != 0.5 {
+		t.Fatalf("%+v", r.Load)
+	}
+}
+
+// A box that is gone from the list keeps what is out, and its connections end with that.
+func TestGone(t *testing.T) {
+	b := newPeerBox(t)
+	addr := b.ln.Addr().String()
+	p, s := setup(t, nil, addr)
+	p.Send(attempt(0), addr, do(0))
+	k := b.next(t)
+	p.Servers(nil, true)
+	_, _ = k.c.Write([]byte("+OK\r\n"))
+	s.expect(t, 0, policy.OK, "+OK\r\n")
+	for end := time.Now().Add(20 * time.Second); p.Counts().Open > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the connection stays open")
+		}
+	}
+}
--- a/internal/discovery/assignment.go
+++ b/internal/discovery/assignment.go
@@ -5,12 +5,14 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"strconv"
 
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
 	"google.golang.org/protobuf/types/known/structpb"
+	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"cometpond/policy"
 )
@@ -77,7 +79,7 @@
 	return s, nil
 }
 
-// Assignment is the reverse of Servers, for those who serve lists.
+// Assignment is the reverse of Servers, for those who serve lists. Weights become whole numbers.
 func Assignment(cluster string, list []policy.Server) (*endpointv3.ClusterLoadAssignment, error) {
 	a := &endpointv3.ClusterLoadAssignment{ClusterName: cluster}
 	zones := map[string]*endpointv3.LocalityLbEndpoints{}
@@ -108,8 +110,9 @@
 			return nil, fmt.Errorf("box %s: %w", s.ID, err)
 		}
 		g.LbEndpoints = append(g.LbEndpoints, &endpointv3.LbEndpoint{
-			HealthStatus: health,
-			Metadata:     &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{metadataKey: meta}},
+			HealthStatus:        health,
+			LoadBalancingWeight: wrapperspb.UInt32(uint32(max(1, math.Round(s.Weight)))),
+			Metadata:            &corev3.Metadata{FilterMetadata: map[string]*structpb.Struct{metadataKey: meta}},
 			HostIdentifier: &endpointv3.LbEndpoint_Endpoint{Endpoint: &endpointv3.Endpoint{
 				Address: &corev3.Address{Address: &corev3.Address_SocketAddress{SocketAddress: &corev3.SocketAddress{
 					Address: host, PortSpecifier: &corev3.SocketAddress_PortValue{PortValue: uint32(n)}}}}}},
