--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -80,8 +80,8 @@
 }
 
 type frontBatch struct {
-	front   Front
-	answers []Answer
+	front Front
+	calls []*Call
 }
 
 // Clock is a source of seconds that only goes forward.
@@ -342,10 +342,10 @@
 func (l *Loop) flush() {
 	for i := range l.fronts {
 		f := &l.fronts[i]
-		if len(f.answers) > 0 {
-			f.front.Answer(f.answers)
-			clear(f.answers)
-			f.answers = f.answers[:0]
+		if len(f.calls) > 0 {
+			f.front.Answered(f.calls)
+			clear(f.calls)
+			f.calls = f.calls[:0]
 		}
 	}
 }
@@ -363,12 +363,12 @@
 	}
 }
 
-func (l *effects) Answer(a Answer) {
+func (l *effects) Answered(c *Call) {
 	for i := range l.fronts {
-		if l.fronts[i].front == a.Call.Front {
-			l.fronts[i].answers = append(l.fronts[i].answers, a)
+		if l.fronts[i].front == c.Front {
+			l.fronts[i].calls = append(l.fronts[i].calls, c)
 			return
 		}
 	}
-	l.fronts = append(l.fronts, frontBatch{a.Call.Front, []Answer{a}})
+	l.fronts = append(l.fronts, frontBatch{c.Front, []*Call{c}})
 }
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -22,8 +22,8 @@
 )
 
 // Call is one request that a front has taken from a client. The front fills in the first part and leaves
-// the call alone until its answer, but for Loop.Gone. Exactly one Answer comes for each call that was
-// taken and is not gone.
+// the call alone until it is given back with its answer, but for Loop.Gone. Each call that was taken and is
+// not gone comes back exactly once.
 type Call struct {
 	Client  string // the customer
 	Plan    string
@@ -36,6 +36,8 @@
 	Front   Front   // gets the answer
 	Tag     any     // for the front's use
 
+	Answer Answer // the final answer, once Front has been given the call back
+
 	slot    uint32 // of the request, +1; 0: none
 	gen     uint32
 	done    bool
@@ -60,7 +62,6 @@
 
 // Answer is the final answer to a call.
 type Answer struct {
-	Call    *Call
 	Kind    Kind
 	Payload []byte
 	RetryS  float64 // with Refused: try again no sooner, 0: no advice
@@ -69,9 +70,10 @@
 	Quota   Quota   // with Limit calls
 }
 
-// Front takes answers. It is called by the core's goroutine and must not block; the slice is the core's.
+// Front takes calls back with their answers. It is called by the core's goroutine and must not block; the
+// slice is the core's.
 type Front interface {
-	Answer(batch []Answer)
+	Answered(calls []*Call)
 }
 
 // Attempt names one attempt at a box, unlike all others of this process.
@@ -86,7 +88,7 @@
 	Cancel(a Attempt, box string) // its answer will be ignored
 	Probe(box string)
 	Tell(instance int, data []byte)
-	Answer(a Answer)
+	Answered(c *Call)
 }
 
 // Result is the end of an attempt as the backend saw it. Status is OK for any reply that is no error.
@@ -435,8 +437,8 @@
 	if c.Limit {
 		a.Quota = m.quota(c)
 	}
-	a.Call = c
-	m.fx.Answer(a)
+	c.Answer = a
+	m.fx.Answered(c)
 }
 
 // quota tells what a client's count says now, by the module's word.
--- a/internal/core/machine_test.go
+++ b/internal/core/machine_test.go
@@ -46,7 +46,7 @@
 func (w *world) Cancel(a Attempt, box string) { w.cancelled[a] = true }
 func (w *world) Probe(box string)             { w.probes = append(w.probes, box) }
 func (w *world) Tell(int, []byte)             {}
-func (w *world) Answer(a Answer)              { w.answers[a.Call] = append(w.answers[a.Call], a) }
+func (w *world) Answered(c *Call)             { w.answers[c] = append(w.answers[c], c.Answer) }
 
 func machine(t interface{ Fatal(...any) }, change func(*policy.Settings)) (*Machine, *world) {
 	w, s := newWorld(), settings()
@@ -383,4 +383,4 @@
 func (discard) Cancel(Attempt, string)       {}
 func (discard) Probe(string)                 {}
 func (discard) Tell(int, []byte)             {}
-func (discard) Answer(Answer)                {}
+func (discard) Answered(*Call)               {}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -39,11 +39,10 @@
 
 // pending is a command whose answer is awaited, or stands ready behind others.
 type pending struct {
-	call   core.Call
-	conn   *conn
-	answer core.Answer
-	ready  []byte // the answer of a command that the front answers itself
-	done   bool
+	call  core.Call
+	conn  *conn
+	ready []byte // the answer of a command that the front answers itself
+	done  bool
 }
 
 func (k *conn) waiting() int { return len(k.queue) - k.head }
@@ -116,7 +115,7 @@
 	n := l.s.core.Submit(l.calls)
 	for _, c := range l.calls[n:] {
 		p := c.Tag.(*pending)
-		p.answer, p.done = core.Answer{Call: c, Kind: core.Refused, Reason: core.Overfull, Why: "too many requests wait"}, true
+		c.Answer, p.done = core.Answer{Kind: core.Refused, Reason: core.Overfull, Why: "too many requests wait"}, true
 	}
 	clear(l.calls)
 	l.calls = l.calls[:0]
@@ -181,7 +180,7 @@
 
 // append writes one answer.
 func (k *conn) append(b []byte, p *pending) []byte {
-	a := &p.answer
+	a := &p.call.Answer
 	switch {
 	case p.ready != nil:
 		return append(b, p.ready...)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -79,7 +79,7 @@
 func (s *scripted) left() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.gone) }
 
 func (s *scripted) rule(c *core.Call) {
-	a := core.Answer{Call: c}
+	a := core.Answer{}
 	text := string(c.Payload)
 	switch {
 	case strings.Contains(text, "hold"):
@@ -98,7 +98,12 @@
 	default:
 		a.Payload = []byte("+did " + c.Key + "\r\n")
 	}
-	c.Front.Answer([]core.Answer{a})
+	give(c, a)
+}
+
+func give(c *core.Call, a core.Answer) {
+	c.Answer = a
+	c.Front.Answered([]*core.Call{c})
 }
 
 func book(t testing.TB) *access.Book {
@@ -230,8 +235,8 @@
 	k := connect(t, addr, true)
 	k.send("JOB.STATUS hold1\r\nPING\r\nSIGN.SUBMIT k2 x\r\nNOPE\r\nJOB.STATUS hold2\r\nECHO end\r\n")
 	first, second := <-s.held, <-s.held
-	second.Front.Answer([]core.Answer{{Call: second, Payload: []byte("+second\r\n")}})
-	first.Front.Answer([]core.Answer{{Call: first, Payload: []byte("+first\r\n")}})
+	give(second, core.Answer{Payload: []byte("+second\r\n")})
+	give(first, core.Answer{Payload: []byte("+first\r\n")})
 	k.expect("", "+first\r\n+PONG\r\n+did k2\r\n-ERR unknown command 'NOPE', with args beginning with: \r\n+second\r\n$3\r\nend\r\n")
 }
 
@@ -243,7 +248,8 @@
 	a, b := <-s.held, <-s.held
 	k.Close()
 	wait(t, func() bool { return s.left() == 2 && srv.Counts().Open == 0 })
-	a.Front.Answer([]core.Answer{{Call: a, Payload: []byte("+late\r\n")}, {Call: b, Payload: []byte("+late\r\n")}})
+	give(a, core.Answer{Payload: []byte("+late\r\n")})
+	give(b, core.Answer{Payload: []byte("+late\r\n")})
 	connect(t, addr, true).expect("PING\r\n", "+PONG\r\n")
 }
 
@@ -305,7 +311,7 @@
 			if seen := s.seen(); seen > n+10 {
 				t.Fatalf("%d commands under way", seen-n)
 			}
-			c.Front.Answer([]core.Answer{{Call: c, Payload: []byte("+ok\r\n")}})
+			give(c, core.Answer{Payload: []byte("+ok\r\n")})
 		}
 		k.expect("", strings.Repeat("+ok\r\n", 25))
 	})
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -243,15 +243,15 @@
 	dirty []*conn
 
 	mu    sync.Mutex
-	inbox []core.Answer
-	spare []core.Answer
+	inbox []*core.Call
+	spare []*core.Call
 }
 
-// Answer takes answers from the core and wakes the loop.
-func (l *loop) Answer(batch []core.Answer) {
+// Answered takes calls back from the core and wakes the loop.
+func (l *loop) Answered(calls []*core.Call) {
 	l.mu.Lock()
 	first := len(l.inbox) == 0
-	l.inbox = append(l.inbox, batch...)
+	l.inbox = append(l.inbox, calls...)
 	l.mu.Unlock()
 	if first {
 		// An error means that the engine shuts down and its connections are closed.
@@ -265,9 +265,9 @@
 	batch := l.inbox
 	l.inbox = l.spare[:0]
 	l.mu.Unlock()
-	for i := range batch {
-		p := batch[i].Call.Tag.(*pending)
-		p.answer, p.done = batch[i], true
+	for _, c := range batch {
+		p := c.Tag.(*pending)
+		p.done = true
 		if k := p.conn; !k.dirty && !k.closed {
 			k.dirty = true
 			l.dirty = append(l.dirty, k)
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -269,9 +268,11 @@
 
 // hashOf is a customer's point on the ring.
 func hashOf(customer string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(customer))
-	return mix(h.Sum64())
+	h := uint64(14695981039346656037) // FNV-1a
+	for i := range len(customer) {
+		h = (h ^ uint64(customer[i])) * 1099511628211
+	}
+	return mix(h)
 }
 
 // sameGroup tells whether two servers drop the repeats of the same key.
