gRPC front: Envoy's rate limit service, typed work calls and streams, TLS

Need: gateways that speak Envoy's protocol and in-house clients with typed calls, under the same quotas. Change: internal/rpc on the same core; what both fronts share stands in internal/access; the module's Return hands back units when one of several descriptors is over limit.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -7,8 +7,11 @@
 	"crypto/subtle"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"cometpond/internal/config"
+	"cometpond/internal/core"
+	"cometpond/internal/resp"
 )
 
 // Client is a customer that has proved who it is.
@@ -55,9 +58,6 @@
 	return e.client, true
 }
 
-// Command returns what a command of that name (in upper case) maps to, nil if there is none.
-func (b *Book) Command(name []byte) *config.Command { return b.commands[string(name)] }
-
 // Commands lists the commands in the order of the file.
 func (b *Book) Commands() []config.Command { return b.list }
 
@@ -67,14 +67,51 @@
 // MostUnits is the most units of one request.
 func (b *Book) MostUnits() int { return b.most }
 
-// Units reads the units that a command with these words counts.
-func (b *Book) Units(c *config.Command, words [][]byte) (int, error) {
-	if c.UnitsAt == 0 {
-		return c.Units, nil
+// Invalid is a command that makes no sense. Its text is what Redis clients know, without the first word.
+type Invalid string
+
+func (e Invalid) Error() string { return string(e) }
+
+// Work translates a command's words, the name in upper case, to the call that asks for it. The words are
+// copied. An error is an Invalid; the call is then of no use. The bool is false if there is no such command.
+func (b *Book) Work(c *Client, words [][]byte) (core.Call, bool, error) {
+	m := b.commands[string(words[0])]
+	if m == nil {
+		return core.Call{}, false, nil
 	}
-	n, err := strconv.Atoi(string(words[c.UnitsAt]))
-	if err != nil || n < 1 || n > b.most {
-		return 0, fmt.Errorf("word %d holds the units, want a whole number from 1 to %d", c.UnitsAt, b.most)
+	if m.Arity > 0 && len(words) != m.Arity || m.Arity < 0 && len(words) < -m.Arity {
+		return core.Call{}, true, WrongArity(words[0])
 	}
-	return n, nil
+	units := m.Units
+	if m.UnitsAt > 0 {
+		n, err := strconv.Atoi(string(words[m.UnitsAt]))
+		if err != nil || n < 1 || n > b.most {
+			return core.Call{}, true, Invalid(fmt.Sprintf("word %d holds the units, want a whole number from 1 to %d", m.UnitsAt, b.most))
+		}
+		units = n
+	}
+	call := core.Call{Client: c.Name, Plan: c.Plan, Class: m.Class, Units: float64(units), Payload: resp.AppendArgs(nil, words)}
+	if m.KeyAt > 0 {
+		if call.Key = string(words[m.KeyAt]); call.Key == "" {
+			return core.Call{}, true, Invalid("the submission key is empty, want a name that is new for each submission")
+		}
+	}
+	return call, true, nil
+}
+
+// WrongArity is the error of a command with too few or too many words.
+func WrongArity(name []byte) Invalid {
+	return Invalid("wrong number of arguments for '" + strings.ToLower(string(name[:min(len(name), 64)])) + "' command")
+}
+
+// Limit is the call that asks for units alone.
+func (b *Book) Limit(c *Client, class int, units float64) core.Call {
+	return core.Call{Client: c.Name, Plan: c.Plan, Class: class, Units: units, Limit: true}
+}
+
+// Known returns a client that another party vouches for: a gateway that asks on its behalf, or its
+// certificate.
+func (b *Book) Known(name string) (*Client, bool) {
+	e, ok := b.clients[name]
+	return e.client, ok
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,6 +42,7 @@
 	Throttle int // index of the class that CL.THROTTLE is asked in
 	Clients  []Client
 
+	GRPC    *GRPC // the gRPC front, nil for none
 	Rules   Rules
 	Front   Front
 	Backend Backend
@@ -92,6 +93,32 @@
 	Partial     time.Duration // for a command to come in whole, and to authenticate
 }
 
+// GRPC is the gRPC front.
+type GRPC struct {
+	Listen                string
+	Certificate, Key, CAs string // PEM files: TLS, and mutual TLS where CAs stands; "" for none
+	Streams               int    // calls and streams open on one connection
+	Ahead                 int    // requests under way on one Stream
+	Message               int    // bytes of one message
+	Domains               []Domain
+}
+
+// Domain maps the descriptors of callers such as Envoy to customers.
+type Domain struct {
+	Name        string
+	Secret      [sha256.Size]byte // hash of what its callers present
+	Descriptors []Descriptor      // the first that matches counts
+	Allow       bool              // what an unmatched descriptor is answered
+}
+
+// Descriptor matches one that holds all Entries and a known customer.
+type Descriptor struct {
+	Entries  [][2]string // key and value; "" for any value
+	Customer string      // the key whose value is the customer
+	Class    int
+	Units    int // that one hit counts
+}
+
 // Backend is how boxes are reached.
 type Backend struct {
 	Connections int           // to one box at once
@@ -134,7 +161,7 @@
 // read takes in the file: what other parts refer to by name comes first, wherever it stands.
 func (c *Config) read(r *sexp.Reader, f *sexp.File) {
 	order := []string{"ingress", "instances", "classes", "plans", "rules", "front", "backend", "boxes", "discovery",
-		"commands", "clients"}
+		"commands", "clients", "grpc"}
 	top := &sexp.Node{}
 	if len(f.Forms) > 0 {
 		top = f.Forms[0]
@@ -189,6 +216,8 @@
 			sexp.IntField("attempts", false, &c.Backend.Attempts, 1, 16),
 			sexp.ChoiceField("parallel", false, &yes, []string{"yes", "no"}, []int{1, 0})})
 		c.Backend.Parallel = yes == 1
+	case "grpc":
+		c.grpc(r, n)
 	case "boxes":
 		r.Fields(n, name, n.Args(), []sexp.Field{{Name: "box", Required: true, Many: true, Read: c.box}})
 	case "discovery":
@@ -369,14 +398,7 @@
 		where := "client " + name
 		r.Fields(n, where, rest, []sexp.Field{
 			{Name: "plan", Required: true, Read: func(r *sexp.Reader, n *sexp.Node) { k.Plan = c.planOf(r, r.One(n, "PLAN")) }},
-			{Name: "secret-sha256", Required: true, Read: func(r *sexp.Reader, n *sexp.Node) {
-				a := r.One(n, "HEX")
-				sum, err := hex.DecodeString(r.Name(a, "secret-sha256"))
-				if r.Err == nil && (err != nil || len(sum) != sha256.Size) {
-					r.Fail(a, "secret-sha256", "want 64 hex digits, as `cometpond secret` prints them")
-				}
-				copy(k.Secret[:], sum)
-			}}})
+			{Name: "secret-sha256", Required: true, Read: func(r *sexp.Reader, n *sexp.Node) { k.Secret = secret(r, n) }}})
 		if seen[name] {
 			r.Fail(n, where, "given twice, want each name once")
 		}
@@ -388,6 +410,68 @@
 	}
 }
 
+func (c *Config) grpc(r *sexp.Reader, n *sexp.Node) {
+	g := &GRPC{Streams: 1000, Ahead: 256, Message: 1 << 20}
+	r.Fields(n, "grpc", n.Args(), []sexp.Field{
+		addressField("listen", true, &g.Listen),
+		sexp.IntField("streams", false, &g.Streams, 1, 1<<20), sexp.IntField("ahead", false, &g.Ahead, 1, 1<<16),
+		sexp.IntField("message", false, &g.Message, 1<<10, 64<<20),
+		{Name: "tls", Read: func(r *sexp.Reader, n *sexp.Node) {
+			r.Fields(n, "grpc tls", n.Args(), []sexp.Field{sexp.TextField("certificate", true, &g.Certificate),
+				sexp.TextField("key", true, &g.Key), sexp.TextField("clients", false, &g.CAs)})
+		}},
+		{Name: "domain", Many: true, Read: func(r *sexp.Reader, n *sexp.Node) {
+			d := Domain{}
+			name, rest := r.Named(n)
+			d.Name = name
+			where := "domain " + name
+			for _, o := range g.Domains {
+				if o.Name == name {
+					r.Fail(n, where, "given twice, want each name once")
+				}
+			}
+			r.Fields(n, where, rest, []sexp.Field{
+				{Name: "secret-sha256", Required: true, Read: func(r *sexp.Reader, n *sexp.Node) { d.Secret = secret(r, n) }},
+				sexp.ChoiceField("unmatched", true, &d.Allow, []string{"allow", "refuse"}, []bool{true, false}),
+				{Name: "descriptor", Required: true, Many: true, Read: func(r *sexp.Reader, n *sexp.Node) {
+					d.Descriptors = append(d.Descriptors, c.descriptor(r, n, where))
+				}}})
+			g.Domains = append(g.Domains, d)
+		}}})
+	c.GRPC = g
+}
+
+func (c *Config) descriptor(r *sexp.Reader, n *sexp.Node, where string) Descriptor {
+	d := Descriptor{Units: 1}
+	r.Fields(n, where+" descriptor", n.Args(), []sexp.Field{
+		sexp.TextField("customer", true, &d.Customer), sexp.IntField("units", false, &d.Units, 1, mostUnits),
+		{Name: "class", Required: true, Read: func(r *sexp.Reader, n *sexp.Node) { d.Class = c.classOf(r, r.One(n, "CLASS")) }},
+		{Name: "entry", Many: true, Read: func(r *sexp.Reader, n *sexp.Node) {
+			a := n.Args()
+			if len(a) != 1 && len(a) != 2 {
+				r.Fail(n, "entry", "holds %d values, want (entry KEY) or (entry KEY VALUE)", len(a))
+				return
+			}
+			e := [2]string{r.Name(a[0], "entry")}
+			if len(a) == 2 {
+				e[1] = r.Name(a[1], "entry")
+			}
+			d.Entries = append(d.Entries, e)
+		}}})
+	return d
+}
+
+// secret reads the hash of a secret.
+func secret(r *sexp.Reader, n *sexp.Node) (to [sha256.Size]byte) {
+	a := r.One(n, "HEX")
+	sum, err := hex.DecodeString(r.Name(a, n.Head()))
+	if r.Err == nil && (err != nil || len(sum) != sha256.Size) {
+		r.Fail(a, n.Head(), "want 64 hex digits, as `cometpond secret` prints them")
+	}
+	copy(to[:], sum)
+	return to
+}
+
 func (c *Config) planOf(r *sexp.Reader, n *sexp.Node) int {
 	name := r.Name(n, "plan")
 	var names []string
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -59,6 +59,7 @@
 type inbox struct {
 	calls   []*Call
 	gone    []*Call
+	back    []*Call
 	results []Result
 	probes  []policy.ProbeResult
 	heard   []message
@@ -150,6 +151,14 @@
 	l.notify()
 }
 
+// Return hands back what calls for units alone were admitted for.
+func (l *Loop) Return(calls []*Call) {
+	l.mu.Lock()
+	l.in.back = append(l.in.back, calls...)
+	l.mu.Unlock()
+	l.notify()
+}
+
 // Done tells how attempts ended. The loop copies the slice.
 func (l *Loop) Done(results ...Result) {
 	l.mu.Lock()
@@ -279,7 +288,7 @@
 // batch takes in all that has come and carries out what is due; false if there was nothing.
 func (l *Loop) batch(in *inbox) bool {
 	m, now := l.machine, l.clock.Now()
-	some := len(in.calls)+len(in.gone)+len(in.results)+len(in.probes)+len(in.heard)+len(in.lists)+len(in.does) > 0 ||
+	some := len(in.calls)+len(in.gone)+len(in.back)+len(in.results)+len(in.probes)+len(in.heard)+len(in.lists)+len(in.does) > 0 ||
 		in.drain || in.settle || m.Next() <= now
 	if !some {
 		return false
@@ -304,6 +313,9 @@
 	if in.drain {
 		m.Drain()
 	}
+	for _, c := range in.back {
+		m.Return(now, c)
+	}
 	for i, c := range in.calls {
 		if i > 0 && i%batchMost == 0 {
 			l.flush()
@@ -330,11 +342,12 @@
 func (in *inbox) reset() {
 	clear(in.calls)
 	clear(in.gone)
+	clear(in.back)
 	clear(in.results)
 	clear(in.heard)
 	clear(in.lists)
 	clear(in.does)
-	*in = inbox{calls: in.calls[:0], gone: in.gone[:0], results: in.results[:0], probes: in.probes[:0],
+	*in = inbox{calls: in.calls[:0], gone: in.gone[:0], back: in.back[:0], results: in.results[:0], probes: in.probes[:0],
 		heard: in.heard[:0], lists: in.lists[:0], does: in.does[:0]}
 }
 
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -56,7 +56,8 @@
 
 // Quota is what a plan and its count say at an answer, in units and seconds.
 type Quota struct {
-	Burst, Room    float64 // Burst is +Inf for a plan without a rate
+	Rate, Burst    float64 // Burst is +Inf for a plan without a rate
+	Room           float64
 	RetryS, ResetS float64 // until the units asked for fit, and until the quota is whole
 }
 
@@ -451,7 +452,7 @@
 	if !ok {
 		room = p.Burst
 	}
-	return Quota{Burst: p.Burst, Room: max(room, 0), RetryS: max(c.Units-room, 0) / p.Rate, ResetS: (p.Burst - room) / p.Rate}
+	return Quota{Rate: p.Rate, Burst: p.Burst, Room: max(room, 0), RetryS: max(c.Units-room, 0) / p.Rate, ResetS: (p.Burst - room) / p.Rate}
 }
 
 // Servers takes in the list of boxes, whole or only what changed.
@@ -486,6 +487,15 @@
 // Drain has every later call refused.
 func (m *Machine) Drain() { m.draining = true }
 
+// Return hands back what a call for units alone was admitted for.
+func (m *Machine) Return(now float64, c *Call) {
+	m.enter(now)
+	defer m.leave()
+	if c.Limit && c.done && c.Answer.Kind == Admitted {
+		m.gate.Return(m.now, c.Client, c.Units)
+	}
+}
+
 // Settle ends what is still under way with the mildest answer that is true, for a stop whose time is up.
 func (m *Machine) Settle(now float64) {
 	m.enter(now)
--- a/internal/core/machine_test.go
+++ b/internal/core/machine_test.go
@@ -125,7 +125,7 @@
 		}
 		return w.answers[c][0]
 	}
-	if a := ask(15); a.Kind != Admitted || a.Quota != (Quota{Burst: 20, Room: 5, RetryS: 1, ResetS: 1.5}) {
+	if a := ask(15); a.Kind != Admitted || a.Quota != (Quota{Rate: 10, Burst: 20, Room: 5, RetryS: 1, ResetS: 1.5}) {
 		t.Fatalf("%+v", a)
 	}
 	if a := ask(15); a.Kind != Refused || a.Quota.Room != 5 || a.Quota.RetryS != 1 {
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 
+	"cometpond/internal/access"
 	"cometpond/internal/resp"
 )
 
@@ -36,8 +37,11 @@
 		k.throttle(args)
 		return
 	}
-	if m := k.loop.s.opt.Book.Command(name); m != nil {
-		k.work(m, args)
+	if call, known, err := k.loop.s.opt.Book.Work(k.client, args); err != nil {
+		k.fail("ERR " + err.Error())
+		return
+	} else if known {
+		k.ask(call)
 		return
 	}
 	switch string(name) {
@@ -92,7 +96,7 @@
 }
 
 func (k *conn) arity(name []byte) {
-	k.fail("ERR wrong number of arguments for '" + strings.ToLower(clip(name)) + "' command")
+	k.fail("ERR " + access.WrongArity(name).Error())
 }
 
 // clip is as much of a word as an error repeats.
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -9,7 +9,6 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"cometpond/internal/access"
-	"cometpond/internal/config"
 	"cometpond/internal/core"
 	"cometpond/internal/resp"
 )
@@ -220,34 +219,11 @@
 // ask starts a call and keeps its place among the answers.
 func (k *conn) ask(c core.Call) {
 	p := &pending{call: c, conn: k}
-	p.call.Client, p.call.Plan = k.client.Name, k.client.Plan
 	p.call.Front, p.call.Tag = k.loop, p
 	k.queue = append(k.queue, p)
 	k.loop.calls = append(k.loop.calls, &p.call)
 }
 
-// work asks for a command of the configuration.
-func (k *conn) work(m *config.Command, args [][]byte) {
-	if m.Arity > 0 && len(args) != m.Arity || m.Arity < 0 && len(args) < -m.Arity {
-		k.arity(args[0])
-		return
-	}
-	units, err := k.loop.s.opt.Book.Units(m, args)
-	if err != nil {
-		k.fail("ERR " + err.Error())
-		return
-	}
-	c := core.Call{Class: m.Class, Units: float64(units), Payload: resp.AppendArgs(nil, args)}
-	if m.KeyAt > 0 {
-		if len(args[m.KeyAt]) == 0 {
-			k.fail("ERR the submission key is empty, want a name that is new for each submission")
-			return
-		}
-		c.Key = string(args[m.KeyAt])
-	}
-	k.ask(c)
-}
-
 // throttle asks for units alone: CL.THROTTLE key max_burst count_per_period period [quantity].
 func (k *conn) throttle(args [][]byte) {
 	if len(args) != 5 && len(args) != 6 {
@@ -274,5 +250,6 @@
 		k.fail("ERR quantity is above " + strconv.Itoa(most) + ", the most of one request")
 		return
 	}
-	k.ask(core.Call{Class: k.loop.s.opt.Book.Throttle(), Units: float64(quantity), Limit: true})
+	book := k.loop.s.opt.Book
+	k.ask(book.Limit(k.client, book.Throttle(), float64(quantity)))
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -22,6 +22,7 @@
 	"cometpond/internal/discovery"
 	"cometpond/internal/front"
 	"cometpond/internal/peer"
+	"cometpond/internal/rpc"
 	"cometpond/policy"
 )
 
@@ -50,6 +51,7 @@
 	peers *peer.Link
 	disc  *discovery.Client
 	front *front.Server
+	rpc   *rpc.Server
 	since time.Time
 
 	stopParts context.CancelFunc // peers and discovery
@@ -125,7 +127,14 @@
 	if opt.Hooks.Calls != nil {
 		calls = opt.Hooks.Calls(calls)
 	}
-	i.front, err = front.Start(calls, front.Options{Listen: cfg.Listen, Loops: loops, Bounds: cfg.Front, Book: access.New(cfg),
+	book := access.New(cfg)
+	if cfg.GRPC != nil {
+		i.rpc, err = rpc.Start(rpcCore{calls, i.loop}, rpc.Options{GRPC: *cfg.GRPC, Book: book, Log: opt.Log.With().Str("part", "rpc").Logger()})
+		if err != nil {
+			return nil, err
+		}
+	}
+	i.front, err = front.Start(calls, front.Options{Listen: cfg.Listen, Loops: loops, Bounds: cfg.Front, Book: book,
 		Info: i.Info, Log: opt.Log.With().Str("part", "front").Logger()})
 	if err != nil {
 		return nil, err
@@ -133,6 +142,14 @@
 	return i, nil
 }
 
+// rpcCore is the core as the gRPC front sees it, through the same hook as the other front.
+type rpcCore struct {
+	front.Core
+	loop *core.Loop
+}
+
+func (c rpcCore) Return(calls []*core.Call) { c.loop.Return(calls) }
+
 func (i *Instance) run(f func()) {
 	i.parts.Add(1)
 	go func() {
@@ -141,13 +158,24 @@
 	}()
 }
 
-// Addr is the address that clients reach.
+// Addr is the address that RESP clients reach.
 func (i *Instance) Addr() (net.Addr, error) { return i.front.Addr() }
 
+// RPCAddr is the address that gRPC clients reach, nil without that front.
+func (i *Instance) RPCAddr() net.Addr {
+	if i.rpc == nil {
+		return nil
+	}
+	return i.rpc.Addr()
+}
+
 // Stop turns new work away, lets what is in flight end for as long as the settings say, settles the rest,
 // and closes everything. When ctx is over it settles at once. Each request taken has had its answer.
 func (i *Instance) Stop(ctx context.Context) error {
 	i.front.Drain()
+	if i.rpc != nil {
+		i.rpc.Drain()
+	}
 	i.loop.Drain()
 	deadline := time.NewTimer(i.cfg.Drain)
 	defer deadline.Stop()
@@ -182,9 +210,12 @@
 func (i *Instance) end() error {
 	var errs []error
 	i.stopLoop()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if i.rpc != nil { // all answers are with it: it only has to write them
+		i.rpc.Stop(ctx)
+	}
 	if i.front != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
 		errs = append(errs, i.front.Stop(ctx))
 	}
 	i.stopParts()
@@ -227,6 +258,14 @@
 		line("commands", c.Commands)
 		line("logins_denied", c.Denied)
 	}
+	if i.rpc != nil {
+		section("gRPC")
+		c := i.rpc.Counts()
+		line("calls", c.Calls)
+		line("stream_requests", c.Requests)
+		line("streams", c.Open)
+		line("calls_denied", c.Denied)
+	}
 	section("Boxes")
 	p := i.pool.Counts()
 	line("box_connections", p.Open)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -862,3 +862,22 @@
 		t.Fatalf("want gone failed, not refused: %+v", r.acts)
 	}
 }
+
+// Units handed back can be taken again, by the owner's count and by a member's.
+func TestReturn(t *testing.T) {
+	g, r := gateway(t, func(s *Settings) { s.Gateways, s.Peers = 1, false })
+	ask := func(id string) {
+		g.Request(100, Request{ID: id, Class: "pay", Plan: "basic", Customer: "ada", DeadlineS: 102, Units: 8, Limit: true})
+	}
+	ask("a")
+	ask("b")
+	g.Return(100, "ada", 8)
+	g.Return(100, "eve", 8)
+	ask("c")
+	if len(r.of("admit", "a")) != 1 || len(r.of("refuse", "b")) != 1 || len(r.of("admit", "c")) != 1 {
+		t.Fatalf("%+v", r.acts)
+	}
+	if room, _ := g.Room(100, "ada"); room != 0 {
+		t.Fatalf("room %v, want 0", room)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -420,6 +420,15 @@
 	return g.roomNow(c), true
 }
 
+// Return hands back units that a Limit request was admitted for and that were not used after all. A
+// ceiling is not given back: it bounds what may have been sent.
+func (g *Gateway) Return(now float64, customer string, units float64) {
+	g.clock(now)
+	if c := g.custs[uint32(hashOf(customer)>>32)]; c != nil && units > 0 {
+		g.charge(c, -units)
+	}
+}
+
 // customer finds or makes what is kept of a customer.
 func (g *Gateway) customer(q Request) *customer {
 	h := hashOf(q.Customer)
