Module: what was let in since the owner answered counts against the split; bursts are told at once

Cause, found on real sockets: a member compared each request with the room left, not with its split of the room, so a customer asking as fast as it can over two gateways got 88 to 118 of a burst of 60. Change: units not yet acknowledged count against the split; half of the even split is told at once while nothing told is unanswered. A slip on the way (an owner's own charge made it forget its ledger) is mended.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,6 +18,7 @@
 	ringMost      = 8192  // on the whole ring no more than about so many
 	batchS        = 0.1   // least time between reports to one owner: "a few times a second"
 	reportShare   = 0.45  // of peerIntake that a gateway's own reports may take
+	tellEarly     = 0.5   // of its even split of the room, that a member lets in before it tells its owner at once
 	holdShare     = 0.5   // of peerIntake that members refused by their owner may ask for again
 	freshS        = 0.5   // a verdict no older is split; with an older one the owner is asked
 	askWaitS      = 0.08  // how long a request waits for the owner's word before it is asked again
@@ -323,16 +324,16 @@
 	case p.Parallel > 0 && (age > freshS || c.out+c.othersOut+1 >= p.Parallel), !g.ceilingHolds(c, r.Units):
 		return wait
 	}
-	need := r.Units
+	need, used := r.Units, max(c.total-c.acked, 0) // used: let in here since the owner took anything in
 	if mine+c.others > p.Rate {
 		need += r.cheap * cheapLeaves * p.Burst
 	}
 	switch old := !c.known || age > freshS; {
 	case p.Rate == 0:
 		return pass
-	case old && need*float64(c.entries) <= min(room, room-(c.others-p.Rate)*age):
+	case old && (need+used)*float64(c.entries) <= used+min(room, room-(c.others-p.Rate)*age):
 		return pass // each of the customer's gateways may think the same at this moment
-	case !old && need <= max(room*mine/max(mine+c.others, 1e-9), room-2*c.others*(age+lagS)):
+	case !old && need+used <= max((room+used)*mine/max(mine+c.others, 1e-9), room+used-2*c.others*(age+lagS)):
 		return pass
 	case r.Units > room && age < batchS:
 		return deny
@@ -393,7 +394,12 @@
 	}
 	c.total += units
 	if c.total > c.acked || units < 0 {
-		g.note(c, false)
+		// A sudden burst is told at once: each gateway would pass a batch of it on the same old room.
+		urgent := g.owner(c) != g.s.Me && c.waitFrom == 0 && // nothing told is unanswered
+			c.total-c.acked > tellEarly*g.roomNow(c)/float64(max(1, c.entries))
+		if g.note(c, urgent); urgent {
+			g.flush()
+		}
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -881,3 +881,25 @@
 		t.Fatalf("room %v, want 0", room)
 	}
 }
+
+// A sudden burst at a member passes no more than its split before the owner has spoken, and the owner is
+// told at once rather than with the next batch. Both gateways used to pass nearly the whole room each.
+func TestBurstKeepsToItsSplit(t *testing.T) {
+	g, r := gateway(t, nil)
+	name := ""
+	for i := 0; name == ""; i++ {
+		if c := g.customer(Request{Customer: fmt.Sprint("c", i), Plan: "basic", Entries: 2}); c.prime == 1 {
+			name = fmt.Sprint("c", i)
+		}
+	}
+	for i := range 8 {
+		g.Request(100, Request{ID: fmt.Sprint("b", i), Class: "pay", Plan: "basic", Customer: name, DeadlineS: 104, Entries: 2,
+			Units: 1, Limit: true})
+	}
+	if n := len(r.of("admit", "")); n != 4 {
+		t.Errorf("%d of a burst of 8 passed unheard, want this gateway's split of 4", n)
+	}
+	if n := len(r.of("tell", "")); n != 2 {
+		t.Errorf("%d messages, want the burst at half of the split, and the question", n)
+	}
+}
