--- a/examples/one.sexp
+++ b/examples/one.sexp
@@ -37,3 +37,12 @@
   (answer-slack 10ms)
   (cold-from 0.19) (cold 15s)
   (fall-multiple 2) (fall 1.5s))
+
+; The gRPC front: work for the clients above, and Envoy's questions in the domain edge. The hash is that of
+; edge-secret.
+(grpc
+  (listen "127.0.0.1:7380")
+  (domain edge
+    (secret-sha256 "0b863617d30f02eb2cc8e2f26787bdf34a19a06b7ab72c7da72185ed734fce13")
+    (unmatched allow)
+    (descriptor (customer client) (class job-status))))
--- a/internal/instance/fronts_test.go
+++ b/internal/instance/fronts_test.go
@@ -62,7 +62,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	text := strings.Replace(string(raw), "127.0.0.1:7379", "127.0.0.1:0", 1) + grpcPart()
+	base, _, _ := strings.Cut(string(raw), "; The gRPC front")
+	text := strings.Replace(base, "127.0.0.1:7379", "127.0.0.1:0", 1) + grpcPart()
 	text = strings.Replace(text, "(rate 10) (burst 20)", "(rate 2) (burst 60)", 1)
 	text += fmt.Sprintf(`(instances (key "%s") (instance 0 %q) (instance 1 %q))`, strings.Repeat("ab", 32), freeUDP(t), freeUDP(t))
 	var asks []func() bool
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -38,7 +38,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &site{t: t, settings: strings.Replace(string(raw), "127.0.0.1:7379", "127.0.0.1:0", 1)}
+	base, _, _ := strings.Cut(string(raw), "; The gRPC front")
+	s := &site{t: t, settings: strings.Replace(base, "127.0.0.1:7379", "127.0.0.1:0", 1)}
 	s.settings = strings.Replace(s.settings, "(burst 20)", "(burst 200)", 1)
 	cfg, err := config.Parse("one", s.settings)
 	if err != nil {
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"cometpond/internal/config"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// heard keeps the messages of a link.
+type heard struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (h *heard) Heard(from int, data []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list = append(h.list, string(rune('0'+from))+string(data))
+}
+
+func (h *heard) count() int { h.mu.Lock(); defer h.mu.Unlock(); return len(h.list) }
+
+func wait(t *testing.T, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !done(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it did not come about in 20 s")
+		}
+	}
+}
+
+// Two links talk; what a stranger sends, and what a wiretapper sends again, is dropped and counted.
+func TestLink(t *testing.T) {
+	tap, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}) // stands where instance 1 is for 0
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tap.Close()
+	key := bytes.Repeat([]byte{7}, 32)
+	open := func(me int, addrs ...string) (*Link, *heard) {
+		c := &config.Config{Me: me, PeerKey: key}
+		for i, a := range addrs {
+			c.Instances = append(c.Instances, config.Instance{Number: i, Peer: a})
+		}
+		h := &heard{}
+		l, err := Open(c, h, zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var work sync.WaitGroup
+		work.Add(1)
+		go func() { defer work.Done(); l.Run(ctx) }()
+		t.Cleanup(func() { cancel(); work.Wait() })
+		return l, h
+	}
+	a, _ := open(0, "127.0.0.1:0", tap.LocalAddr().String())
+	b, got := open(1, "127.0.0.1:1", "127.0.0.1:0")
+	to := b.conn.LocalAddr().(*net.UDPAddr)
+	a.Tell(1, []byte("hello"))
+	a.Tell(7, []byte("nobody"))
+	a.Tell(1, make([]byte, MaxMessage+1))
+	buf := make([]byte, maxPacket)
+	_ = tap.SetReadDeadline(time.Now().Add(20 * time.Second))
+	n, _, err := tap.ReadFromUDP(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range [][]byte{buf[:n], buf[:n], []byte("stranger"), append([]byte{buf[0], buf[1] ^ 1}, buf[2:n]...)} {
+		if _, err := tap.WriteToUDP(d, to); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait(t, func() bool { c := b.Counts(); return c.Heard+c.Replayed+c.Foreign == 4 })
+	if c := b.Counts(); got.count() != 1 || got.list[0] != "0hello" || c.Replayed != 1 || c.Foreign != 2 {
+		t.Errorf("heard %v, %+v", got.list, c)
+	}
+	if c := a.Counts(); c.Unsent != 2 {
+		t.Errorf("%d unsent, want the two that can't be sent", c.Unsent)
+	}
+}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -102,7 +102,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := config.Parse("one.sexp", string(raw)+fmt.Sprintf(`
+	base, _, _ := strings.Cut(string(raw), "; The gRPC front")
+	c, err := config.Parse("one.sexp", base+fmt.Sprintf(`
 (grpc (listen "127.0.0.1:0") (ahead 8)
   (domain edge (secret-sha256 "%x") (unmatched refuse)
     (descriptor (entry kind sign) (customer client) (class sign-submit) (units 2))
