--- a/internal/instance/fronts_test.go
+++ b/internal/instance/fronts_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	healthv1 "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/metadata"
 
 	"cometpond/internal/config"
@@ -184,3 +186,49 @@
 		b.ReportMetric(float64((quantile(all, 0.99) - quantile(direct, 0.99)).Microseconds()), "p99-added-us")
 	}
 }
+
+// BenchmarkQuestions are answers a second on one instance, from 50 callers one at a time: an empty unary call,
+// ShouldRateLimit on the same server, and CL.THROTTLE.
+func BenchmarkQuestions(b *testing.B) {
+	for b.Loop() {
+		cfg := wide(b, 64, []string{"127.0.0.1:1"})
+		cfg.GRPC = &config.GRPC{Listen: "127.0.0.1:0", Streams: 1000, Ahead: 64, Message: 1 << 20,
+			Domains: []config.Domain{{Name: "edge", Secret: config.HashSecret("e"), Descriptors: []config.Descriptor{{Customer: "client", Units: 1}}}}}
+		in, addr := run(b, cfg)
+		conn := dialRPC(b, in)
+		limits, health := rlsv3.NewRateLimitServiceClient(conn), healthv1.NewHealthClient(conn)
+		rate := func(f func(i int) error) float64 {
+			var work sync.WaitGroup
+			var n atomic.Int64
+			begin := time.Now()
+			for i := range 50 {
+				work.Add(1)
+				go func() {
+					defer work.Done()
+					for time.Since(begin) < 2*time.Second {
+						if err := f(i); err != nil {
+							b.Error(err)
+							return
+						}
+						n.Add(1)
+					}
+				}()
+			}
+			work.Wait()
+			return float64(n.Load()) / time.Since(begin).Seconds()
+		}
+		empty := rate(func(int) error {
+			_, err := health.Check(context.Background(), &healthv1.HealthCheckRequest{})
+			return err
+		})
+		asked := rate(func(i int) error {
+			_, err := limits.ShouldRateLimit(basicAuth("edge", "e"), &rlsv3.RateLimitRequest{Domain: "edge",
+				Descriptors: []*ratelimitv3.RateLimitDescriptor{{Entries: []*ratelimitv3.RateLimitDescriptor_Entry{{Key: "client", Value: fmt.Sprint("c", i)}}}}})
+			return err
+		})
+		resp := pump(b, addr, 50, 1, throttle, "*", 2*time.Second)
+		b.ReportMetric(asked/empty, "of-empty-call")
+		b.ReportMetric(asked/resp, "of-CL.THROTTLE")
+		b.ReportMetric(asked, "ask/s")
+	}
+}
