--- a/internal/core/machine_test.go
+++ b/internal/core/machine_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -9,6 +10,13 @@
 	"cometpond/policy"
 )
 
+// The same histories at every run; -rapid.seed on the command line draws others.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func settings() policy.Settings {
 	return policy.Settings{
 		Me: 0, Gateways: 1, Zone: "room0", MaxUnits: 4, MaxAttempts: 3, MaxRetryAfterS: 0.5, AnswerSlackS: 0.01,
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -1,6 +1,7 @@
 package keys
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 
@@ -9,6 +10,13 @@
 	"cometpond/policy"
 )
 
+// The same histories at every run; -rapid.seed on the command line draws others.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 var sign = &policy.Class{Name: "sign", Effect: policy.Keyed, KeyScope: policy.ScopeZone, KeyTTLS: 7.5}
 
 func rooms(states ...policy.State) []policy.Server {
--- a/internal/peer/seal_test.go
+++ b/internal/peer/seal_test.go
@@ -3,11 +3,19 @@
 import (
 	"bytes"
 	"errors"
+	"flag"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
+// The same histories at every run; -rapid.seed on the command line draws others.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func pair(t interface{ Fatal(...any) }, boot uint64) (*sealer, *sealer) {
 	key := bytes.Repeat([]byte{7}, 32)
 	a, err := newSealer(key, 0, 3, boot)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,7 +18,7 @@
 	ringMost      = 8192  // on the whole ring no more than about so many
 	batchS        = 0.1   // least time between reports to one owner: "a few times a second"
 	reportShare   = 0.45  // of peerIntake that a gateway's own reports may take
-	tellEarly     = 0.5   // of its even split of the room, that a member lets in before it tells its owner at once
+	tellEarly     = 0.5   // of its even split of the room: let in by a member, it is told at once
 	holdShare     = 0.5   // of peerIntake that members refused by their owner may ask for again
 	freshS        = 0.5   // a verdict no older is split; with an older one the owner is asked
 	askWaitS      = 0.08  // how long a request waits for the owner's word before it is asked again
