--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,6 +97,7 @@
 type GRPC struct {
 	Listen                string
 	Certificate, Key, CAs string // PEM files: TLS, and mutual TLS where CAs stands; "" for none
+	Connections           int    // open at once; one more is closed
 	Streams               int    // calls and streams open on one connection
 	Ahead                 int    // requests under way on one Stream
 	Message               int    // bytes of one message
@@ -349,15 +350,24 @@
 }
 
 func (c *Config) classOf(r *sexp.Reader, n *sexp.Node) int {
-	name := r.Name(n, "class")
+	return index(r, n, "class", c.Classes, func(k policy.Class) string { return k.Name })
+}
+
+func (c *Config) planOf(r *sexp.Reader, n *sexp.Node) int {
+	return index(r, n, "plan", c.Plans, func(p policy.Plan) string { return p.Name })
+}
+
+// index finds what a name refers to among things that were read before.
+func index[T any](r *sexp.Reader, n *sexp.Node, field string, list []T, nameOf func(T) string) int {
+	name := r.Name(n, field)
 	var names []string
-	for i, k := range c.Classes {
-		if k.Name == name {
+	for i, x := range list {
+		if nameOf(x) == name {
 			return i
 		}
-		names = append(names, k.Name)
+		names = append(names, nameOf(x))
 	}
-	r.Fail(n, "class", "%s is not among the classes, want %s", n, strings.Join(names, " or "))
+	r.Fail(n, field, "%s is not known, want %s", n, strings.Join(names, " or "))
 	return 0
 }
 
@@ -411,9 +421,10 @@
 }
 
 func (c *Config) grpc(r *sexp.Reader, n *sexp.Node) {
-	g := &GRPC{Streams: 1000, Ahead: 256, Message: 1 << 20}
+	g := &GRPC{Connections: 10000, Streams: 1000, Ahead: 256, Message: 1 << 20}
 	r.Fields(n, "grpc", n.Args(), []sexp.Field{
 		addressField("listen", true, &g.Listen),
+		sexp.IntField("connections", false, &g.Connections, 1, 1<<20),
 		sexp.IntField("streams", false, &g.Streams, 1, 1<<20), sexp.IntField("ahead", false, &g.Ahead, 1, 1<<16),
 		sexp.IntField("message", false, &g.Message, 1<<10, 64<<20),
 		{Name: "tls", Read: func(r *sexp.Reader, n *sexp.Node) {
@@ -472,19 +483,6 @@
 	return to
 }
 
-func (c *Config) planOf(r *sexp.Reader, n *sexp.Node) int {
-	name := r.Name(n, "plan")
-	var names []string
-	for i, p := range c.Plans {
-		if p.Name == name {
-			return i
-		}
-		names = append(names, p.Name)
-	}
-	r.Fail(n, "plan", "%s is not among the plans, want %s", n, strings.Join(names, " or "))
-	return 0
-}
-
 // whole checks what several sections say together.
 func (c *Config) whole(r *sexp.Reader, found map[string]*sexp.Node) {
 	n := found["ingress"]
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -265,6 +265,7 @@
 		line("stream_requests", c.Requests)
 		line("streams", c.Open)
 		line("calls_denied", c.Denied)
+		line("rpc_connections_cut", c.Cut)
 	}
 	section("Boxes")
 	p := i.pool.Counts()
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -474,6 +474,27 @@
 	}
 }
 
+// A connection too many is closed; those that stand go on, and a place given back is taken again.
+func TestConnectionsAreBounded(t *testing.T) {
+	srv, _ := start(t, func(g *config.GRPC) { g.Connections = 1 })
+	first, second := dial(t, srv, nil), dial(t, srv, nil)
+	ask := func(c *grpc.ClientConn) error {
+		_, err := pb.NewGatewayClient(c).Do(acme(), words("JOB.STATUS", "1"))
+		return err
+	}
+	if err := ask(first); err != nil {
+		t.Fatal(err)
+	}
+	if err := ask(second); status.Code(err) != codes.Unavailable || srv.Counts().Cut == 0 {
+		t.Fatal(err, srv.Counts().Cut)
+	}
+	if err := ask(first); err != nil {
+		t.Fatal(err)
+	}
+	first.Close()
+	wait(t, func() bool { return ask(second) == nil })
+}
+
 // authority makes certificates for a test.
 type authority struct {
 	t    *testing.T
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -51,6 +51,7 @@
 // Counts are totals since the start.
 type Counts struct {
 	Calls, Requests, Open, Denied uint64 // rpcs, requests of streams, streams open now, rpcs without credentials
+	Cut                           uint64 // connections closed because too many were open
 }
 
 // Server is the gRPC front.
@@ -66,8 +67,8 @@
 	drain  chan struct{} // closed when the server drains
 	once   sync.Once
 
-	calls, requests, denied atomic.Uint64
-	open                    atomic.Int64
+	calls, requests, denied, cut atomic.Uint64
+	open                         atomic.Int64
 }
 
 // Start listens and serves until Stop.
@@ -97,17 +98,53 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", opt.Listen, err)
 	}
-	s.ln = ln
+	s.ln = &bounded{Listener: ln, most: int64(opt.Connections), cut: &s.cut}
 	s.served.Add(1)
 	go func() {
 		defer s.served.Done()
-		if err := s.server.Serve(ln); err != nil {
+		if err := s.server.Serve(s.ln); err != nil {
 			opt.Log.Error().Err(err).Msg("gRPC front ended")
 		}
 	}()
 	return s, nil
 }
 
+// bounded is a listener that closes connections beyond a number, so that what is open goes on undisturbed.
+type bounded struct {
+	net.Listener
+	most int64
+	open atomic.Int64
+	cut  *atomic.Uint64
+}
+
+// Accept returns the next connection for which there is room.
+func (b *bounded) Accept() (net.Conn, error) {
+	for {
+		c, err := b.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if b.open.Add(1) <= b.most {
+			return &counted{Conn: c, open: &b.open}, nil
+		}
+		b.open.Add(-1)
+		b.cut.Add(1)
+		c.Close()
+	}
+}
+
+// counted gives its place back when it is closed.
+type counted struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
 // transport reads the files of TLS: 1.3 at least, and clients' certificates where an authority is given.
 func transport(g config.GRPC) (credentials.TransportCredentials, error) {
 	pair, err := tls.LoadX509KeyPair(g.Certificate, g.Key)
@@ -160,7 +197,7 @@
 
 // Counts returns the totals so far.
 func (s *Server) Counts() Counts {
-	return Counts{s.calls.Load(), s.requests.Load(), uint64(s.open.Load()), s.denied.Load()}
+	return Counts{s.calls.Load(), s.requests.Load(), uint64(s.open.Load()), s.denied.Load(), s.cut.Load()}
 }
 
 // waiter gets calls back from the core: it hands each to the rpc that waits for it.
