Connections to boxes are decided by a state machine without I/O (internal/links)

Need: which connection carries an attempt, and what its end proves, was mixed with sockets; two faults had shown by luck of timing.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -1,6 +1,6 @@
 // Package backend carries attempts to boxes that speak RESP, over pooled and pipelined connections on
 // gnet's event loops, and tells the core what the end of each attempt proves: an answer, that it never ran,
-// or that it may have run. It chooses connections, never boxes.
+// or that it may have run. Which connection carries what is decided in internal/links; which box, by the core.
 package backend
 
 import (
@@ -17,6 +17,7 @@
 
 	"cometpond/internal/config"
 	"cometpond/internal/core"
+	"cometpond/internal/links"
 	"cometpond/internal/netlog"
 	"cometpond/internal/resp"
 	"cometpond/policy"
@@ -38,9 +39,10 @@
 
 // Counts are totals since the start.
 type Counts struct {
-	Dials, DialsFailed, Broken uint64 // connections asked for, not had, and lost with attempts out
-	Late                       uint64 // answers to attempts that had ended
-	Open                       int64
+	Dials, DialsFailed uint64 // connections asked for, and not had
+	Broken             uint64 // attempts whose connection was lost
+	Late               uint64 // answers to attempts that had ended
+	Open               int64
 }
 
 // Pool holds the connections to all boxes.
@@ -61,39 +63,24 @@
 	open                             atomic.Int64
 }
 
-// box is what is kept of one box. Its lock covers its links and all that is in them.
+// box is what is kept of one box. Its lock covers all below.
 type box struct {
 	pool *Pool
 	addr string
 
 	mu      sync.Mutex
-	links   []*link
-	dialing int
-	waiting []*flight // for a connection
-	flights map[core.Attempt]*flight
+	conns   *links.Box
 	probe   *link // a connection of its own, so that no answer holds a probe up
 	probing *probe
-	gone    bool // no longer listed
 }
 
 // link is one connection.
 type link struct {
-	box     *box
-	c       gnet.Conn // nil until it is open
-	probe   bool
-	flights []*flight // in the order of the answers to come
-	setups  int       // of them, this end's own greeting
-	dead    int       // of them, given up
-	closed  bool
-}
-
-// flight is what one answer on a link is awaited for.
-type flight struct {
-	attempt core.Attempt
-	payload []byte
-	link    *link
-	setup   bool // this end's own greeting
-	dead    bool
+	box    *box
+	c      gnet.Conn
+	probe  bool
+	greets int         // answers of this end's own that come first, of a probe's connection
+	state  *links.Link // nil for a probe's connection
 }
 
 type probe struct {
@@ -155,10 +142,12 @@
 		}
 		listed[s.ID] = true
 		if b := p.boxes[s.ID]; b == nil {
-			p.boxes[s.ID] = &box{pool: p, addr: s.ID, flights: map[core.Attempt]*flight{}}
+			b = &box{pool: p, addr: s.ID}
+			b.conns = links.New(links.Limits{Connections: p.opt.Connections, Pipeline: p.opt.Pipeline}, (*effects)(b))
+			p.boxes[s.ID] = b
 		} else {
 			b.mu.Lock()
-			b.gone = false
+			b.conns.Listed()
 			b.mu.Unlock()
 		}
 	}
@@ -175,14 +164,9 @@
 func (b *box) retire() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.gone = true
-	for _, l := range b.links {
-		if len(l.flights) == 0 {
-			l.close()
-		}
-	}
+	b.conns.Retire()
 	if b.probe != nil {
-		b.probe.close()
+		_ = b.probe.c.Close()
 	}
 }
 
@@ -195,64 +179,38 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	f := &flight{attempt: a, payload: payload}
-	b.flights[a] = f
-	idle, next := b.pick()
-	switch {
-	case idle != nil:
-		idle.write(f)
-	case len(b.links)+b.dialing < p.opt.Connections:
-		b.waiting = append(b.waiting, f)
-		b.dial(false)
-	case next != nil:
-		next.write(f)
-	case b.dialing > 0 && len(b.waiting) < b.dialing*p.opt.Pipeline:
-		b.waiting = append(b.waiting, f)
-	default:
-		delete(b.flights, a)
-		p.core.Done(core.Result{Attempt: a, Status: policy.Full})
-	}
+	b.conns.Send(a, payload)
 }
 
-// pick returns a connection with nothing out, and the one with least out that has room. Answers come in the
-// order of the commands, so one that holds an attempt given up may be held up by it and takes no more.
-func (b *box) pick() (idle, next *link) {
-	for _, l := range b.links {
-		n := len(l.flights) - l.setups
-		switch {
-		case l.c == nil || l.closed || l.dead > 0:
-		case n == 0:
-			return l, l
-		case n < b.pool.opt.Pipeline && (next == nil || n < len(next.flights)-next.setups):
-			next = l
-		}
+// Cancel gives an attempt up.
+func (p *Pool) Cancel(a core.Attempt, addr string) {
+	if b := p.box(addr); b != nil {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.conns.Cancel(a)
 	}
-	return nil, next
 }
 
-// write sends a flight on the link.
-func (l *link) write(f *flight) {
-	f.link = l
-	l.flights = append(l.flights, f)
-	payload := f.payload
-	f.payload = nil
-	// An error means that the connection is closed; OnClose tells what became of the flight.
-	_ = l.c.AsyncWrite(payload, nil)
-}
+// effects carries out what the state of a box's connections asks for, under the box's lock.
+type effects box
+
+func (e *effects) Dial() { (*box)(e).dial(false) }
 
-func (l *link) close() {
-	if !l.closed && l.c != nil {
-		l.closed = true
-		_ = l.c.Close()
+// Write and Close go through the connection's event loop. An error means that it is closed; OnClose tells
+// what became of the attempts on it.
+func (e *effects) Write(l *links.Link, payload []byte) { _ = l.Conn.(*link).c.AsyncWrite(payload, nil) }
+func (e *effects) Close(l *links.Link)                 { _ = l.Conn.(*link).c.Close() }
+
+func (e *effects) End(a core.Attempt, status policy.Status) {
+	if status == policy.Reset {
+		e.pool.broken.Add(1)
 	}
+	e.pool.core.Done(core.Result{Attempt: a, Status: status})
 }
 
 // dial opens one more connection on a goroutine of its own, which the pool waits for.
 func (b *box) dial(probe bool) {
 	p := b.pool
-	if !probe {
-		b.dialing++
-	}
 	p.dials.Add(1)
 	p.work.Add(1)
 	go func() {
@@ -262,64 +220,18 @@
 		if err == nil {
 			_, err = p.client.EnrollContext(c, &link{box: b, probe: probe})
 		}
-		if err != nil {
-			p.dialsFailed.Add(1)
-			b.failed(probe)
-		}
-	}()
-}
-
-// failed ends what waited for a connection that can't be had, unless another one will do.
-func (b *box) failed(probe bool) {
-	b.mu.Lock()
-	if probe {
-		b.mu.Unlock()
-		b.probed(policy.ConnectFailed, nil)
-		return
-	}
-	b.dialing--
-	b.share()
-	var lost []core.Result
-	if b.dialing == 0 && len(b.links) == 0 {
-		for _, f := range b.waiting {
-			delete(b.flights, f.attempt)
-			lost = append(lost, core.Result{Attempt: f.attempt, Status: policy.ConnectFailed})
+		if err == nil {
+			return
 		}
-		b.waiting = nil
-	}
-	b.mu.Unlock()
-	if len(lost) > 0 {
-		b.pool.core.Done(lost...)
-	}
-}
-
-// Cancel gives an attempt up. A connection on which nothing else is awaited is closed, so that the box can
-// stop the work.
-func (p *Pool) Cancel(a core.Attempt, addr string) {
-	b := p.box(addr)
-	if b == nil {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	f := b.flights[a]
-	if f == nil {
-		return
-	}
-	delete(b.flights, a)
-	f.dead = true
-	if f.link == nil {
-		for i, w := range b.waiting {
-			if w == f {
-				b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
-				break
-			}
+		p.dialsFailed.Add(1)
+		if probe {
+			b.probed(policy.ConnectFailed, nil)
+			return
 		}
-		return
-	}
-	if f.link.dead++; f.link.dead == len(f.link.flights) {
-		f.link.close()
-	}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.conns.DialFailed()
+	}()
 }
 
 // OnOpen puts a new connection to use.
@@ -334,42 +246,20 @@
 	defer b.mu.Unlock()
 	l.c = c
 	var out []byte
-	greet := func(words ...string) {
-		out = resp.AppendCommand(out, words...)
-		l.flights = append(l.flights, &flight{setup: true})
-		l.setups++
-	}
+	greetings := 1
 	if p.opt.Load == "answer" { // load rides on answers as an attribute, which version 3 alone has
-		greet("HELLO", "3")
+		out = resp.AppendCommand(out, "HELLO", "3")
+		greetings++
 	}
-	greet("CLIENT", "SETNAME", p.opt.Name)
+	out = resp.AppendCommand(out, "CLIENT", "SETNAME", p.opt.Name)
 	if l.probe {
-		b.probe = l
-		l.flights = append(l.flights, &flight{})
+		b.probe, l.greets = l, greetings
 		return resp.AppendCommand(out, "INFO"), gnet.None
 	}
-	b.dialing--
-	b.links = append(b.links, l)
-	b.share()
+	l.state = b.conns.Opened(l, greetings)
 	return out, gnet.None
 }
 
-// share gives what waits to connections: one each as they open, and the rest in line once no more is to come.
-func (b *box) share() {
-	for len(b.waiting) > 0 {
-		idle, next := b.pick()
-		if idle == nil && (b.dialing > 0 || next == nil) {
-			return
-		}
-		f := b.waiting[0]
-		b.waiting = b.waiting[1:]
-		if idle == nil {
-			idle = next
-		}
-		idle.write(f)
-	}
-}
-
 // OnTraffic matches answers to what they were awaited for.
 func (p *Pool) OnTraffic(c gnet.Conn) gnet.Action {
 	l, ok := c.Context().(*link)
@@ -396,19 +286,22 @@
 		if len(reply) > 0 && reply[0] == '>' {
 			continue // pushed out of turn: no answer to anything
 		}
-		f, ok := l.next()
-		if !ok {
-			act = gnet.Close
-			break
+		if l.probe {
+			if l.greets--; l.greets < 0 {
+				l.box.probed(policy.OK, parseLoad(resp.Text(reply, p.lim)))
+			}
+			continue
 		}
-		switch {
-		case f.setup:
-		case l.probe:
-			l.box.probed(policy.OK, parseLoad(resp.Text(reply, p.lim)))
-		case f.dead:
+		l.box.mu.Lock()
+		a, kind := l.box.conns.Answered(l.state)
+		l.box.mu.Unlock()
+		switch kind {
+		case links.Unexpected:
+			act = gnet.Close
+		case links.Late:
 			p.late.Add(1)
-		default:
-			r := core.Result{Attempt: f.attempt, Status: policy.OK}
+		case links.Live:
+			r := core.Result{Attempt: a, Status: policy.OK}
 			attr, body := resp.SplitAttribute(reply, p.lim)
 			if attr != nil {
 				r.Load = pairsLoad(resp.Strings(attr, p.lim))
@@ -418,6 +311,9 @@
 			}
 			results = append(results, r)
 		}
+		if act == gnet.Close {
+			break
+		}
 	}
 	if _, err := c.Discard(used); err != nil {
 		act = gnet.Close
@@ -425,44 +321,9 @@
 	if len(results) > 0 {
 		p.core.Done(results...)
 	}
-	if l.spent() {
-		act = gnet.Close
-	}
 	return act
 }
 
-// next takes the flight that the next answer belongs to; false if none is awaited.
-func (l *link) next() (*flight, bool) {
-	b := l.box
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(l.flights) == 0 {
-		return nil, false
-	}
-	f := l.flights[0]
-	l.flights = l.flights[1:]
-	if f.setup {
-		l.setups--
-	}
-	if f.dead {
-		l.dead--
-	} else if !f.setup && !l.probe {
-		delete(b.flights, f.attempt)
-	}
-	if l.dead > 0 && l.dead == len(l.flights) {
-		l.close()
-	}
-	b.share()
-	return f, true
-}
-
-// spent tells that a connection to a box that is gone has nothing more to bring.
-func (l *link) spent() bool {
-	l.box.mu.Lock()
-	defer l.box.mu.Unlock()
-	return l.box.gone && len(l.flights) == 0
-}
-
 // OnClose ends what was out on a connection: each attempt on it may have run.
 func (p *Pool) OnClose(c gnet.Conn, _ error) gnet.Action {
 	l, ok := c.Context().(*link)
@@ -472,23 +333,8 @@
 	p.open.Add(-1)
 	b := l.box
 	b.mu.Lock()
-	l.closed = true
-	var lost []core.Result
-	for _, f := range l.flights {
-		if !f.setup && !f.dead && !l.probe {
-			delete(b.flights, f.attempt)
-			lost = append(lost, core.Result{Attempt: f.attempt, Status: policy.Reset})
-		}
-	}
-	l.flights = nil
-	for i, o := range b.links {
-		if o == l {
-			b.links = append(b.links[:i], b.links[i+1:]...)
-			break
-		}
-	}
-	if len(b.waiting) > 0 && len(b.links) == 0 && b.dialing == 0 {
-		b.dial(false)
+	if l.state != nil {
+		b.conns.Closed(l.state)
 	}
 	wasProbe := b.probe == l
 	if wasProbe {
@@ -498,10 +344,6 @@
 	if wasProbe {
 		b.probed(policy.Reset, nil)
 	}
-	if len(lost) > 0 {
-		p.broken.Add(1)
-		p.core.Done(lost...)
-	}
 	return gnet.None
 }
 
@@ -528,13 +370,12 @@
 			return
 		}
 		if b.probe != nil {
-			b.probe.close()
+			_ = b.probe.c.Close()
 		}
 		b.mu.Unlock()
 		b.probed(policy.Timeout, nil)
 	})
-	if b.probe != nil && !b.probe.closed {
-		b.probe.flights = append(b.probe.flights, &flight{})
+	if b.probe != nil {
 		_ = b.probe.c.AsyncWrite(resp.AppendCommand(nil, "INFO"), nil)
 		return
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -272,7 +272,7 @@
 	line("box_connections", p.Open)
 	line("dials", p.Dials)
 	line("dials_failed", p.DialsFailed)
-	line("connections_broken", p.Broken)
+	line("attempts_broken", p.Broken)
 	if i.disc != nil {
 		d := i.disc.State()
 		line("discovery_connected", d.Connected)
--- /dev/null
+++ b/internal/links/links.go
@@ -0,0 +1,258 @@
+// Package links decides which connection to a box carries an attempt, when one more is opened or one is
+// closed, and what the end of a connection proves of the attempts on it. It has no I/O, no clock and no
+// goroutine; internal/backend carries out what it asks for.
+//
+// Answers come in the order of the commands, so a connection that holds an attempt given up may be held up
+// by it: it takes no more, and is closed once it holds nothing else, so that the box can stop the work.
+package links
+
+import (
+	"cometpond/internal/core"
+	"cometpond/policy"
+)
+
+// Effects is what a Box wants done. Its methods are called while one of the Box's methods runs.
+type Effects interface {
+	Dial()                                    // open a connection: ends in Opened or DialFailed
+	Write(l *Link, payload []byte)            // in the order of the calls
+	Close(l *Link)                            // ends in Closed
+	End(a core.Attempt, status policy.Status) // the attempt has ended without an answer
+}
+
+// Limits bound what a Box uses, each 1 at least.
+type Limits struct {
+	Connections int // open or being opened at once
+	Pipeline    int // attempts awaited on one of them
+}
+
+// Box is the connections to one box. It is not safe for concurrent use.
+type Box struct {
+	lim     Limits
+	fx      Effects
+	links   []*Link
+	dialing int
+	waiting []*flight // for a connection
+	flights map[core.Attempt]*flight
+	retired bool
+}
+
+// Link is one open connection.
+type Link struct {
+	Conn any // the caller's
+
+	flights []*flight // in the order of the answers to come
+	setups  int       // of them, this end's own greeting
+	dead    int       // of them, given up
+	closed  bool
+}
+
+// flight is what one answer on a link is awaited for.
+type flight struct {
+	attempt core.Attempt
+	payload []byte
+	link    *Link
+	setup   bool
+	dead    bool
+}
+
+// New returns a box without connections.
+func New(lim Limits, fx Effects) *Box {
+	return &Box{lim: lim, fx: fx, flights: map[core.Attempt]*flight{}}
+}
+
+// Send starts an attempt: over an idle connection, else a new one, else in line behind the fewest. With no
+// room at all it ends at once as Full: the box has not seen it.
+func (b *Box) Send(a core.Attempt, payload []byte) {
+	f := &flight{attempt: a, payload: payload}
+	b.flights[a] = f
+	idle, next := b.pick()
+	switch {
+	case idle != nil:
+		b.write(idle, f)
+	case len(b.links)+b.dialing < b.lim.Connections:
+		b.waiting = append(b.waiting, f)
+		b.dial()
+	case next != nil:
+		b.write(next, f)
+	case b.dialing > 0 && len(b.waiting) < b.dialing*b.lim.Pipeline:
+		b.waiting = append(b.waiting, f)
+	default:
+		delete(b.flights, a)
+		b.fx.End(a, policy.Full)
+	}
+}
+
+func (b *Box) dial() {
+	b.dialing++
+	b.fx.Dial()
+}
+
+// pick returns a connection with nothing out, and the one with least out that has room.
+func (b *Box) pick() (idle, next *Link) {
+	for _, l := range b.links {
+		n := len(l.flights) - l.setups
+		switch {
+		case l.closed || l.dead > 0:
+		case n == 0:
+			return l, l
+		case n < b.lim.Pipeline && (next == nil || n < len(next.flights)-next.setups):
+			next = l
+		}
+	}
+	return nil, next
+}
+
+func (b *Box) write(l *Link, f *flight) {
+	f.link = l
+	l.flights = append(l.flights, f)
+	payload := f.payload
+	f.payload = nil
+	b.fx.Write(l, payload)
+}
+
+func (b *Box) close(l *Link) {
+	if !l.closed {
+		l.closed = true
+		b.fx.Close(l)
+	}
+}
+
+// share gives what waits to connections: one each as they open, and the rest in line once no more is to come.
+func (b *Box) share() {
+	for len(b.waiting) > 0 {
+		idle, next := b.pick()
+		if idle == nil && (b.dialing > 0 || next == nil) {
+			break
+		}
+		f := b.waiting[0]
+		b.waiting = b.waiting[1:]
+		if idle == nil {
+			idle = next
+		}
+		b.write(idle, f)
+	}
+}
+
+// Opened puts a new connection to use. Greetings is how many answers of this end's own come first.
+func (b *Box) Opened(conn any, greetings int) *Link {
+	l := &Link{Conn: conn, setups: greetings}
+	for range greetings {
+		l.flights = append(l.flights, &flight{setup: true})
+	}
+	b.dialing--
+	b.links = append(b.links, l)
+	b.share()
+	return l
+}
+
+// DialFailed ends what waited for a connection that can't be had, unless another one will do: it never ran.
+func (b *Box) DialFailed() {
+	b.dialing--
+	b.share()
+	if b.dialing > 0 || len(b.links) > 0 {
+		return
+	}
+	waiting := b.waiting
+	b.waiting = nil
+	for _, f := range waiting {
+		delete(b.flights, f.attempt)
+		b.fx.End(f.attempt, policy.ConnectFailed)
+	}
+}
+
+// Cancel gives an attempt up; nothing more is told of it.
+func (b *Box) Cancel(a core.Attempt) {
+	f := b.flights[a]
+	if f == nil {
+		return
+	}
+	delete(b.flights, a)
+	f.dead = true
+	if l := f.link; l != nil {
+		if l.dead++; l.dead == len(l.flights) {
+			b.close(l)
+		}
+		return
+	}
+	for i, w := range b.waiting {
+		if w == f {
+			b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// Kind is what an answer belongs to.
+type Kind int
+
+// The kinds.
+const (
+	Unexpected Kind = iota // nothing was awaited: the connection can't be trusted any more
+	Greeting               // this end's own
+	Late                   // an attempt that was given up
+	Live                   // an attempt, which has ended with this answer
+)
+
+// Answered matches the next answer on a connection to what it was awaited for.
+func (b *Box) Answered(l *Link) (core.Attempt, Kind) {
+	if len(l.flights) == 0 {
+		return core.Attempt{}, Unexpected
+	}
+	f := l.flights[0]
+	l.flights = l.flights[1:]
+	kind := Live
+	switch {
+	case f.setup:
+		l.setups--
+		kind = Greeting
+	case f.dead:
+		l.dead--
+		kind = Late
+	default:
+		delete(b.flights, f.attempt)
+	}
+	if l.dead > 0 && l.dead == len(l.flights) || b.retired && len(l.flights) == 0 {
+		b.close(l)
+	}
+	b.share()
+	return f.attempt, kind
+}
+
+// Closed ends what was out on a connection: each attempt on it may have run. What waits goes on with others,
+// or with a new one.
+func (b *Box) Closed(l *Link) {
+	l.closed = true
+	for i, o := range b.links {
+		if o == l {
+			b.links = append(b.links[:i], b.links[i+1:]...)
+			break
+		}
+	}
+	flights := l.flights
+	l.flights = nil
+	for _, f := range flights {
+		if !f.setup && !f.dead {
+			delete(b.flights, f.attempt)
+			b.fx.End(f.attempt, policy.Reset)
+		}
+	}
+	if len(b.waiting) > 0 && len(b.links) == 0 && b.dialing == 0 {
+		b.dial()
+	}
+}
+
+// Retire closes connections as they become idle: the box is no longer listed. Listed takes that back.
+func (b *Box) Retire() {
+	b.retired = true
+	for _, l := range b.links {
+		if len(l.flights) == 0 {
+			b.close(l)
+		}
+	}
+}
+
+// Listed takes Retire back.
+func (b *Box) Listed() { b.retired = false }
+
+// Out is the number of attempts without an end.
+func (b *Box) Out() int { return len(b.flights) }
--- /dev/null
+++ b/internal/links/links_test.go
@@ -0,0 +1,191 @@
+package links
+
+import (
+	"flag"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cometpond/internal/core"
+	"cometpond/policy"
+)
+
+// The same histories at every run; -rapid.seed on the command line draws others.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// wire records what a box wants done.
+type wire struct {
+	dials   int
+	written map[*Link][]int // attempts by number, in order
+	closing []*Link
+	ended   map[int]policy.Status
+}
+
+func newWire() *wire { return &wire{written: map[*Link][]int{}, ended: map[int]policy.Status{}} }
+
+func (w *wire) Dial()                         { w.dials++ }
+func (w *wire) Write(l *Link, payload []byte) { w.written[l] = append(w.written[l], int(payload[0])) }
+func (w *wire) Close(l *Link)                 { w.closing = append(w.closing, l) }
+func (w *wire) End(a core.Attempt, s policy.Status) {
+	if _, twice := w.ended[a.N]; twice {
+		panic("an attempt ended twice")
+	}
+	w.ended[a.N] = s
+}
+
+func at(n int) core.Attempt { return core.Attempt{N: n} }
+
+// An attempt that waited for two connections at once is not left behind when both have opened.
+func TestNothingIsLeftWaiting(t *testing.T) {
+	w := newWire()
+	b := New(Limits{2, 2}, w)
+	for n := range 4 {
+		b.Send(at(n), []byte{byte(n)})
+	}
+	x, y := b.Opened(nil, 1), b.Opened(nil, 1)
+	if w.dials != 2 || len(w.written[x])+len(w.written[y]) != 4 {
+		t.Fatalf("%d dials, written %v and %v", w.dials, w.written[x], w.written[y])
+	}
+	b.Send(at(4), []byte{4})
+	if w.ended[4] != policy.Full {
+		t.Fatalf("beyond the bounds: %v", w.ended)
+	}
+}
+
+// A connection whose last live answer has come is closed if only given-up attempts are left on it.
+func TestClosesBehindTheLastLiveAnswer(t *testing.T) {
+	w := newWire()
+	b := New(Limits{1, 2}, w)
+	b.Send(at(0), []byte{0})
+	l := b.Opened(nil, 0)
+	b.Send(at(1), []byte{1})
+	b.Cancel(at(1))
+	if len(w.closing) != 0 {
+		t.Fatal("closed under a live attempt")
+	}
+	if a, k := b.Answered(l); k != Live || a != at(0) || len(w.closing) != 1 {
+		t.Fatalf("%v %v, %d closed", a, k, len(w.closing))
+	}
+}
+
+// Any order of events: bounds are kept, answers meet their own attempts, each attempt ends once, and none is
+// left without a connection, a dial or an end.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWire()
+		lim := Limits{rapid.IntRange(1, 3).Draw(t, "connections"), rapid.IntRange(1, 3).Draw(t, "pipeline")}
+		b := New(lim, w)
+		var open []*Link
+		answered, given := map[int]bool{}, map[int]bool{}
+		greetings := map[*Link]int{}
+		dialed, sent := 0, 0
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0, 1:
+				if sent < 200 {
+					b.Send(at(sent), []byte{byte(sent)})
+					sent++
+				}
+			case 2:
+				if dialed < w.dials {
+					dialed++
+					n := rapid.IntRange(0, 2).Draw(t, "greetings")
+					l := b.Opened(nil, n)
+					greetings[l] = n
+					open = append(open, l)
+				}
+			case 3:
+				if dialed < w.dials && rapid.Bool().Draw(t, "fails") {
+					dialed++
+					b.DialFailed()
+				}
+			case 4:
+				if len(open) == 0 {
+					continue
+				}
+				l := open[rapid.IntRange(0, len(open)-1).Draw(t, "link")]
+				switch a, k := b.Answered(l); {
+				case greetings[l] > 0:
+					if greetings[l]--; k != Greeting {
+						t.Fatalf("a greeting's answer was taken for %v", k)
+					}
+				case len(w.written[l]) == 0:
+					if k != Unexpected {
+						t.Fatalf("an answer to nothing was taken for %v", k)
+					}
+				default:
+					first := w.written[l][0]
+					w.written[l] = w.written[l][1:]
+					if a.N != first || (k == Late) != given[first] {
+						t.Fatalf("the answer to %d went to %d as %v", first, a.N, k)
+					}
+					answered[first] = true
+				}
+			case 5:
+				if sent > 0 {
+					n := rapid.IntRange(0, sent-1).Draw(t, "attempt")
+					if _, over := w.ended[n]; !over && !answered[n] {
+						given[n] = true
+						b.Cancel(at(n))
+					}
+				}
+			case 6:
+				var l *Link
+				if len(w.closing) > 0 {
+					l, w.closing = w.closing[0], w.closing[1:]
+				} else if len(open) > 0 && rapid.Bool().Draw(t, "breaks") {
+					l = open[0]
+				}
+				for i, o := range open {
+					if o == l {
+						open = append(open[:i], open[i+1:]...)
+						b.Closed(l)
+						break
+					}
+				}
+			}
+			if len(open)+w.dials-dialed > lim.Connections {
+				t.Fatalf("%d open, %d being opened, %d allowed", len(open), w.dials-dialed, lim.Connections)
+			}
+			for _, l := range open {
+				if len(w.written[l]) > lim.Pipeline {
+					t.Fatalf("%d in line, %d allowed", len(w.written[l]), lim.Pipeline)
+				}
+			}
+			if len(b.waiting) > 0 && len(open) == 0 && dialed == w.dials {
+				t.Fatalf("%d wait for nothing", len(b.waiting))
+			}
+		}
+		for ; dialed < w.dials; dialed++ {
+			b.DialFailed()
+		}
+		for len(open) > 0 {
+			l := open[0]
+			open = open[1:]
+			b.Closed(l)
+			for ; dialed < w.dials; dialed++ {
+				b.DialFailed()
+			}
+		}
+		for n := range sent {
+			_, ended := w.ended[n]
+			if ends := btoi(ended) + btoi(answered[n]); ends > 1 && !given[n] || ends == 0 && !given[n] {
+				t.Fatalf("attempt %d has %d ends, given up: %v", n, ends, given[n])
+			}
+		}
+		if b.Out() != 0 {
+			t.Fatalf("%d attempts are left", b.Out())
+		}
+	})
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
