--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -52,13 +52,13 @@
 
 // Try is one command as its client saw it.
 type Try struct {
-	ID, Request, Client, Class, Key string
-	Instance                        int
-	Units                           float64
-	SentAt, EndAt                   time.Time
-	End                             End
-	Extra                           int  // answers beyond the first
-	Excused                         bool // its instance was killed while it was out
+	ID, Client, Class, Key string
+	Instance               int
+	Units                  float64
+	SentAt, EndAt          time.Time
+	End                    End
+	Extra                  int  // answers beyond the first
+	Excused                bool // its instance was killed while it was out
 }
 
 // Arrival is one command as a box saw it.
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -65,8 +65,6 @@
 	heard   []message
 	lists   []serverList
 	drain   bool
-	settle  bool
-	does    []func(*Machine)
 }
 
 type message struct {
@@ -197,21 +195,6 @@
 	return taken
 }
 
-// Do runs f on the loop's goroutine with the machine, and returns when it has run or ctx is over.
-func (l *Loop) Do(ctx context.Context, f func(*Machine)) error {
-	ran := make(chan struct{})
-	l.mu.Lock()
-	l.in.does = append(l.in.does, func(m *Machine) { f(m); close(ran) })
-	l.mu.Unlock()
-	l.notify()
-	select {
-	case <-ran:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Drain has later calls refused while those under way go on.
 func (l *Loop) Drain() {
 	l.mu.Lock()
@@ -220,14 +203,6 @@
 	l.notify()
 }
 
-// Settle ends what is under way at once.
-func (l *Loop) Settle() {
-	l.mu.Lock()
-	l.in.settle = true
-	l.mu.Unlock()
-	l.notify()
-}
-
 // Status is what the loop last counted.
 type Status struct {
 	Counts
@@ -288,8 +263,8 @@
 // batch takes in all that has come and carries out what is due; false if there was nothing.
 func (l *Loop) batch(in *inbox) bool {
 	m, now := l.machine, l.clock.Now()
-	some := len(in.calls)+len(in.gone)+len(in.back)+len(in.results)+len(in.probes)+len(in.heard)+len(in.lists)+len(in.does) > 0 ||
-		in.drain || in.settle || m.Next() <= now
+	some := len(in.calls)+len(in.gone)+len(in.back)+len(in.results)+len(in.probes)+len(in.heard)+len(in.lists) > 0 ||
+		in.drain || m.Next() <= now
 	if !some {
 		return false
 	}
@@ -327,12 +302,6 @@
 	for _, c := range in.gone {
 		m.Gone(now, c)
 	}
-	if in.settle {
-		m.Settle(now)
-	}
-	for _, f := range in.does {
-		f(m)
-	}
 	l.flush()
 	in.reset()
 	return true
@@ -346,9 +315,8 @@
 	clear(in.results)
 	clear(in.heard)
 	clear(in.lists)
-	clear(in.does)
 	*in = inbox{calls: in.calls[:0], gone: in.gone[:0], back: in.back[:0], results: in.results[:0], probes: in.probes[:0],
-		heard: in.heard[:0], lists: in.lists[:0], does: in.does[:0]}
+		heard: in.heard[:0], lists: in.lists[:0]}
 }
 
 // flush hands the answers of a batch to their fronts.
--- a/internal/day/clients.go
+++ b/internal/day/clients.go
@@ -281,7 +281,7 @@
 
 // try sends one command and keeps what became of it.
 func (l *load) try(id, request string, c *client, via int, name string, units float64, class policy.Class) audit.Try {
-	t := audit.Try{ID: id, Request: request, Client: c.name, Class: class.Name, Instance: via, Units: units, SentAt: time.Now()}
+	t := audit.Try{ID: id, Client: c.name, Class: class.Name, Instance: via, Units: units, SentAt: time.Now()}
 	words := []string{name, id, c.name}
 	switch {
 	case class.Name == "limit":
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -232,65 +232,39 @@
 // Info is the text that INFO answers: sections of name:value lines.
 func (i *Instance) Info() string {
 	var b strings.Builder
-	section := func(name string) { fmt.Fprintf(&b, "# %s\r\n", name) }
-	line := func(name string, v any) { fmt.Fprintf(&b, "%s:%v\r\n", name, v) }
-	section("Server")
-	line("instance", i.cfg.Me)
-	line("zone", i.cfg.Zone)
-	line("uptime_in_seconds", int(time.Since(i.since).Seconds()))
-	s := i.loop.Status()
-	section("Requests")
-	for _, f := range []struct {
-		name string
-		v    any
-	}{{"taken", s.Taken}, {"served", s.Served}, {"refused", s.Refused}, {"failed", s.Failed}, {"admitted", s.Admitted},
-		{"client_gone", s.Gone}, {"joined", s.Joined}, {"repeated", s.Repeated}, {"overfull", s.Overfull},
-		{"overdue", s.Overdue}, {"in_flight", s.Held}, {"waiting", s.Waiting}, {"attempts", s.Attempts},
-		{"attempt_timeouts", s.Timeouts}, {"late_answers", s.Late}, {"probes", s.Probes}} {
-		line(f.name, f.v)
+	section := func(name string, pairs ...any) {
+		fmt.Fprintf(&b, "# %s\r\n", name)
+		for k := 0; k < len(pairs); k += 2 {
+			fmt.Fprintf(&b, "%v:%v\r\n", pairs[k], pairs[k+1])
+		}
 	}
-	section("Clients")
+	section("Server", "instance", i.cfg.Me, "zone", i.cfg.Zone, "uptime_in_seconds", int(time.Since(i.since).Seconds()))
+	s := i.loop.Status()
+	section("Requests", "taken", s.Taken, "served", s.Served, "refused", s.Refused, "failed", s.Failed, "admitted", s.Admitted,
+		"client_gone", s.Gone, "joined", s.Joined, "repeated", s.Repeated, "overfull", s.Overfull, "overdue", s.Overdue,
+		"in_flight", s.Held, "waiting", s.Waiting, "attempts", s.Attempts, "attempt_timeouts", s.Timeouts,
+		"late_answers", s.Late, "probes", s.Probes)
 	if i.front != nil {
 		c := i.front.Counts()
-		line("connections", c.Open)
-		line("connections_total", c.Opened)
-		line("connections_cut", c.Cut)
-		line("commands", c.Commands)
-		line("logins_denied", c.Denied)
+		section("Clients", "connections", c.Open, "connections_total", c.Opened, "connections_cut", c.Cut, "commands", c.Commands,
+			"logins_denied", c.Denied)
 	}
 	if i.rpc != nil {
-		section("gRPC")
 		c := i.rpc.Counts()
-		line("calls", c.Calls)
-		line("stream_requests", c.Requests)
-		line("streams", c.Open)
-		line("calls_denied", c.Denied)
-		line("rpc_connections_cut", c.Cut)
+		section("gRPC", "calls", c.Calls, "stream_requests", c.Requests, "streams", c.Open, "calls_denied", c.Denied,
+			"rpc_connections_cut", c.Cut)
 	}
-	section("Boxes")
 	p := i.pool.Counts()
-	line("box_connections", p.Open)
-	line("dials", p.Dials)
-	line("dials_failed", p.DialsFailed)
-	line("attempts_broken", p.Broken)
+	section("Boxes", "box_connections", p.Open, "dials", p.Dials, "dials_failed", p.DialsFailed, "attempts_broken", p.Broken)
 	if i.disc != nil {
 		d := i.disc.State()
-		line("discovery_connected", d.Connected)
-		line("list_version", d.Version)
-		line("list_boxes", d.Boxes)
-		line("lists_refused", d.Nacked)
+		section("Discovery", "discovery_connected", d.Connected, "list_version", d.Version, "list_boxes", d.Boxes,
+			"lists_refused", d.Nacked)
 	}
 	if i.peers != nil {
-		section("Peers")
 		c := i.peers.Counts()
-		line("messages_sent", c.Sent)
-		line("messages_unsent", c.Unsent)
-		line("messages_heard", c.Heard)
-		line("messages_dropped", s.Dropped)
-		line("foreign", c.Foreign)
-		line("replayed", c.Replayed)
-		line("old", c.Old)
-		line("misdirected", c.WrongWay)
+		section("Peers", "messages_sent", c.Sent, "messages_unsent", c.Unsent, "messages_heard", c.Heard,
+			"messages_dropped", s.Dropped, "foreign", c.Foreign, "replayed", c.Replayed, "old", c.Old, "misdirected", c.WrongWay)
 	}
 	return b.String()
 }
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -63,7 +63,6 @@
 	ttl    float64
 	live   bool // a request is under way
 	ran    string
-	ranAt  float64 // last send that may have run
 	first  float64 // first send that may have run
 	answer []byte
 	served bool
@@ -77,7 +76,6 @@
 	bytes   int
 	boxes   map[string]*box
 	groups  map[policy.Scope][]*group
-	born    float64
 }
 
 type box struct {
@@ -94,8 +92,8 @@
 }
 
 // New returns an empty table.
-func New(now float64) *Table {
-	return &Table{entries: map[string]*Entry{}, boxes: map[string]*box{}, groups: map[policy.Scope][]*group{}, born: now}
+func New() *Table {
+	return &Table{entries: map[string]*Entry{}, boxes: map[string]*box{}, groups: map[policy.Scope][]*group{}}
 }
 
 // Servers takes in the list of boxes, as the policy module does.
@@ -206,11 +204,10 @@
 // beside what ran there before. Not covered: an instance that never heard of the key, asked for the repeat
 // just after the home came back or while it alone can't reach the group (docs/ingress.md).
 func (t *Table) Home(now float64, key string, scope policy.Scope, ttl float64) string {
-	h := xxh3.HashString(key)
 	var best *group
 	var high uint64
 	for _, g := range t.groups[scope] {
-		if score := mix(h ^ g.hash); (best == nil || score > high) && !g.dark(now, ttl) {
+		if score := xxh3.HashStringSeed(key, g.hash); (best == nil || score > high) && !g.dark(now, ttl) {
 			best, high = g, score
 		}
 	}
@@ -229,13 +226,6 @@
 	return ""
 }
 
-// mix spreads the bits of x (the finaliser of splitmix64), so that scores of a key are independent.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // Take rules on a submission of a client's key under a keyed class.
 func (t *Table) Take(now float64, client, key string, c *policy.Class) Ruling {
 	t.sweep(now)
@@ -264,11 +254,10 @@
 	if e.ran == "" {
 		e.ran, e.first = box, now
 	}
-	e.ranAt = now
 }
 
 // NeverRan takes back the last Sent: the attempt is known not to have run, and it was the only one.
-func (t *Table) NeverRan(e *Entry) { e.ran, e.first, e.ranAt = "", 0, 0 }
+func (t *Table) NeverRan(e *Entry) { e.ran, e.first = "", 0 }
 
 // Served notes the answer of the request under way. The table keeps the bytes.
 func (t *Table) Served(now float64, e *Entry, answer []byte) {
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -30,7 +30,7 @@
 func zoneOf(id string) string { return "room" + fmt.Sprint(int(id[3]-'0')/2) }
 
 func fleet() *Table {
-	t := New(0)
+	t := New()
 	t.Servers(0, rooms(0, 0, 0, 0, 0, 0), true)
 	return t
 }
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -3,6 +3,7 @@
 package rpc
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -277,7 +278,7 @@
 	if len(words) == 0 || len(words[0]) == 0 {
 		return core.Call{}, errors.New("no words, want a command of the settings with its further words")
 	}
-	words = append([][]byte{upper(words[0])}, words[1:]...)
+	words = append([][]byte{bytes.ToUpper(words[0])}, words[1:]...)
 	c, known, err := s.opt.Book.Work(client, words)
 	if err == nil && !known {
 		err = fmt.Errorf("unknown command %q", words[0][:min(len(words[0]), 64)])
@@ -285,16 +286,6 @@
 	return c, err
 }
 
-func upper(b []byte) []byte {
-	out := append([]byte(nil), b...)
-	for i, c := range out {
-		if c >= 'a' && c <= 'z' {
-			out[i] = c - 'a' + 'A'
-		}
-	}
-	return out
-}
-
 // seconds turns a wait into a duration; plans without a rate have none.
 func seconds(x float64) *durationpb.Duration {
 	if math.IsInf(x, 0) || math.IsNaN(x) || x < 0 {
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -47,13 +47,6 @@
 // NewMemory returns an empty memory.
 func NewMemory() *Memory { return &Memory{seen: map[string]remembered{}} }
 
-// Clear forgets all keys, as a room does that lost its power.
-func (m *Memory) Clear() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	clear(m.seen)
-}
-
 // BoxOptions describe a Box.
 type BoxOptions struct {
 	Params Params
@@ -79,7 +72,6 @@
 	mute   string // a command that stays unanswered
 	jobs   uint64
 	base   time.Time
-	fell   time.Time
 	work   sync.WaitGroup
 }
 
@@ -263,9 +255,6 @@
 	case Full:
 		return reply{text: resp.AppendError(nil, "BUSY the queue is full")}
 	case Fell:
-		if b.fell.IsZero() {
-			b.fell = at
-		}
 		b.silent = true
 		return reply{}
 	}
@@ -339,20 +328,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.model.Restart(b.now())
-	b.silent, b.fell = false, time.Time{}
+	b.silent = false
 	if b.ln != nil {
 		return nil
 	}
 	return b.listen()
 }
 
-// Fell is when the box fell over, zero if it stands.
-func (b *Box) Fell() time.Time {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.fell
-}
-
 // Close takes the box down and waits for its goroutines.
 func (b *Box) Close() {
 	b.Down()
