--- a/cmd/cometpond/day.go
+++ b/cmd/cometpond/day.go
@@ -17,7 +17,7 @@
 func dayCommand(logger newLogger) *cobra.Command {
 	var rate float64
 	var span time.Duration
-	var sabotage, bench string
+	var sabotage, bench, front string
 	var verbose bool
 	c := &cobra.Command{
 		Use:   "day [SCRIPT]",
@@ -28,7 +28,8 @@
 		Example: `  cometpond day
   cometpond day --rate 1000 --for 60s
   cometpond day --sabotage drain      # one instance rule broken on purpose: the verdict must name it
-  cometpond day --from-bench day.json`,
+  cometpond day --from-bench day.json
+  cometpond day --front both`,
 		Args: cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			log, err := logger(c.ErrOrStderr())
@@ -67,7 +68,7 @@
 			if err != nil {
 				return fmt.Errorf("day: %w", err)
 			}
-			opt := day.Options{Log: log, Serve: func(file string) *exec.Cmd {
+			opt := day.Options{Log: log, Front: front, Serve: func(file string) *exec.Cmd {
 				args := []string{"serve", file, "--log-level", "warn"}
 				if sabotage != "" {
 					args = append(args, "--sabotage", sabotage)
@@ -94,6 +95,7 @@
 	c.Flags().DurationVar(&span, "for", 0, "length of the day in place of the script's; its troubles move along")
 	c.Flags().StringVar(&sabotage, "sabotage", "", "have the instances break one rule: drain, repeat, lost, ceiling or cold")
 	c.Flags().StringVar(&bench, "from-bench", "", "play the troubles of a day drawn with lbsim draw")
+	c.Flags().StringVar(&front, "front", "resp", "what clients speak: resp, grpc or both")
 	c.Flags().BoolVar(&verbose, "verbose", false, "show what the instances print")
 	return c
 }
--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -45,6 +45,7 @@
 	list    []policy.Server
 	files   []string
 	listen  []string
+	rpcs    []string // addresses of the gRPC front, none without it
 
 	mu       sync.Mutex
 	procs    []*process
@@ -144,6 +145,13 @@
 			return err
 		}
 		f.listen, peers = append(f.listen, a), append(peers, p)
+		if f.opt.Front == "grpc" || f.opt.Front == "both" {
+			g, err := takePort("tcp")
+			if err != nil {
+				return err
+			}
+			f.rpcs = append(f.rpcs, g)
+		}
 	}
 	var err error
 	if f.relay, err = standin.NewRelay(peers, f.s.Seed); err != nil {
@@ -201,8 +209,12 @@
   (plan basic   (rate 2.6) (burst 9) (price 1.1))
   (plan premium (rate 18) (burst 36) (price 1.8) (excess-cost 0.6) (ceiling (rate 36) (burst 72) (slack 7.2))))
 (rules (answer-slack 10ms) (cold-from 0.3) (cold 10s) (fall-multiple 2) (fall 1.5s))`)
-	p(`(clients`)
 	sum := config.HashSecret(daySecret)
+	if len(f.rpcs) > 0 {
+		p(`(grpc (listen %q) (streams 10000)
+  (domain day (secret-sha256 "%x") (unmatched refuse) (descriptor (customer client) (class job-status))))`, f.rpcs[me], sum)
+	}
+	p(`(clients`)
 	for _, list := range [][]*client{f.clients, f.fresh} {
 		for _, c := range list {
 			p(`  (client %s (plan %s) (secret-sha256 "%x"))`, c.name, c.plan, sum)
--- a/internal/day/play.go
+++ b/internal/day/play.go
@@ -23,10 +23,16 @@
 	Output io.Writer                   // what the instances print
 	Log    zerolog.Logger
 	Slack  time.Duration // the auditor's, 0 for its own
+	Front  string        // what clients speak: "resp" or "", "grpc", or "both"
 }
 
 // Play plays a day and returns the verdict. An error means that the day could not be played.
 func Play(ctx context.Context, s *Script, opt Options) (*audit.Verdict, error) {
+	switch opt.Front {
+	case "", "resp", "grpc", "both":
+	default:
+		return nil, fmt.Errorf("front %q: want resp, grpc or both", opt.Front)
+	}
 	f, err := newFleet(s, opt)
 	if err != nil {
 		return nil, err
