Input in pieces is no longer lost: unfinished commands and answers stay in the buffer

Cause: gnet's Discard(n) with n <= 0 throws away all that has come in. The front called it whenever the first command was unfinished, the backend whenever the first answer was; a command in two segments lost its head, arguments over one read were never answered, a box's answer in two segments shifted all behind it.

Change: Discard only what was used.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -37,6 +37,9 @@
 	Log   zerolog.Logger
 }
 
+// mostReply bounds one string of an answer, bytes.
+const mostReply = 8 << 20
+
 // Counts are totals since the start.
 type Counts struct {
 	Dials, DialsFailed uint64 // connections asked for, and not had
@@ -92,7 +95,7 @@
 func New(c Core, opt Options) (*Pool, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{opt: opt, core: c, lim: resp.DefaultLimits, boxes: map[string]*box{}, ctx: ctx, cancel: cancel}
-	p.lim.Bulk, p.lim.Args = 8<<20, 1<<16 // what a box answers is its own affair
+	p.lim.Bulk, p.lim.Args = mostReply, 1<<16 // what a box answers is its own affair
 	cl, err := gnet.NewClient(p, gnet.WithNumEventLoop(max(1, opt.Loops)), gnet.WithTCPKeepAlive(15*time.Second),
 		gnet.WithLogger(netlog.Logger{Log: opt.Log}), gnet.WithLogLevel(logging.ErrorLevel))
 	if err != nil {
@@ -315,8 +318,10 @@
 			break
 		}
 	}
-	if _, err := c.Discard(used); err != nil {
-		act = gnet.Close
+	if used > 0 { // Discard(0) would throw away all that has come in, the head of an unfinished answer with it
+		if _, err := c.Discard(used); err != nil {
+			act = gnet.Close
+		}
 	}
 	if len(results) > 0 {
 		p.core.Done(results...)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -90,8 +90,10 @@
 	if k.need > 0 && k.partial.IsZero() {
 		k.partial = time.Now()
 	}
-	if _, err := k.c.Discard(used); err != nil {
-		return gnet.Close
+	if used > 0 { // Discard(0) would throw away all that has come in, the head of an unfinished command with it
+		if _, err := k.c.Discard(used); err != nil {
+			return gnet.Close
+		}
 	}
 	k.submit()
 	if broken != nil {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -151,14 +151,21 @@
 	t *testing.T
 }
 
+func dialRaw(addr string) (net.Conn, error) {
+	c, err := net.Dial("tcp", addr)
+	if err == nil {
+		err = c.SetDeadline(time.Now().Add(20 * time.Second))
+	}
+	return c, err
+}
+
 func connect(t *testing.T, addr string, login bool) *raw {
 	t.Helper()
-	c, err := net.Dial("tcp", addr)
+	c, err := dialRaw(addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 	k := &raw{c, bufio.NewReader(c), t}
 	if login {
 		k.expect("AUTH acme acme-secret\r\n", "+OK\r\n")
--- a/test.sh
+++ b/test.sh
@@ -4,6 +4,12 @@
 cd "$(dirname "$0")"
 out=$(gofmt -l .)
 if [ -n "$out" ]; then echo "gofmt needed: $out"; exit 1; fi
+if git rev-parse --is-inside-work-tree >/dev/null 2>&1; then
+  big=$(git ls-files -z -- . ':!journal' | while IFS= read -r -d '' f; do
+    if [ -f "$f" ] && [ "$(wc -c <"$f")" -gt 1048576 ]; then echo "$f"; fi
+  done)
+  if [ -n "$big" ]; then echo "tracked files over 1 MB:" $big "(want none outside journal/)"; exit 1; fi
+fi
 go vet ./...
 build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/balancer.toml)
 [ -n "$build" ] || { echo "no build command in deploy/balancer.toml"; exit 1; }
