Input is bounded over all connections: those without room wait unread and lose nothing

Need: one connection that never logged in could make the program hold 4.5 MB, times the connections allowed; a client that sent a long pipeline ahead, or was answered faster than it read, was cut with its commands lost. The listener of the socket library ends for good when it is refused a descriptor.

Change: internal/intake decides without I/O who may hold how much (announced size granted whole, smallest first, none passes one that waited 2 s, a reserve against deadlock). A connection that may not go on is parked: its descriptor leaves the event loop and the socket stays unread. Unfinished input and unsent answers are kept by the front itself, so Discard and Peek are gone; need is known for replies too.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -82,6 +82,8 @@
 	box    *box
 	c      gnet.Conn
 	probe  bool
+	in     []byte      // the head of an unfinished answer
+	need   int         // length of in before which another look is of no use
 	greets int         // answers of this end's own that come first, of a probe's connection
 	state  *links.Link // nil for a probe's connection
 }
@@ -269,15 +271,26 @@
 	if !ok {
 		return gnet.Close
 	}
-	buf, err := c.Peek(-1)
+	// Next(-1) takes all that has come in, which lies in the loop's own buffer until this returns. Discard is
+	// not used: with 0 it throws away everything.
+	buf, err := c.Next(-1)
 	if err != nil {
 		return gnet.Close
 	}
+	if len(l.in) > 0 {
+		l.in = append(l.in, buf...)
+		buf = l.in
+	}
+	if len(buf) < l.need {
+		return gnet.None
+	}
+	l.need = 0
 	used, act := 0, gnet.None
 	var results []core.Result
 	for used < len(buf) {
-		n, err := resp.Reply(buf[used:], p.lim)
+		n, need, err := resp.ReplyNeed(buf[used:], p.lim)
 		if err == resp.ErrIncomplete {
+			l.need = need
 			break
 		} else if err != nil {
 			p.opt.Log.Warn().Str("box", l.box.addr).Err(err).Msg("box breaks the protocol")
@@ -318,10 +331,13 @@
 			break
 		}
 	}
-	if used > 0 { // Discard(0) would throw away all that has come in, the head of an unfinished answer with it
-		if _, err := c.Discard(used); err != nil {
-			act = gnet.Close
-		}
+	switch rest := buf[used:]; {
+	case len(rest) == 0 || act == gnet.Close:
+		l.in = nil
+	case len(l.in) > 0 && used > 0:
+		l.in = l.in[:copy(l.in, rest)]
+	case len(l.in) == 0:
+		l.in = append(make([]byte, 0, max(len(rest), l.need)), rest...)
 	}
 	if len(results) > 0 {
 		p.core.Done(results...)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -90,6 +90,7 @@
 	Bulk        int           // bytes of one argument
 	Pipeline    int           // commands of one connection under way
 	Output      int           // bytes that a client leaves unread
+	Input       int           // bytes of unfinished commands that all connections hold beyond 16 kB each
 	Partial     time.Duration // for a command to come in whole, and to authenticate
 }
 
@@ -147,7 +148,8 @@
 	}
 	c := &Config{Drain: 10 * time.Second, Throttle: -1,
 		Rules: Rules{AnswerSlackS: 0.01, ColdFrom: 0.2, ColdS: 15, FallMultiple: 2, FallS: 1.5},
-		Front: Front{Connections: 20000, Bulk: 512 << 10, Pipeline: 4096, Output: 4 << 20, Partial: 10 * time.Second},
+		Front: Front{Connections: 20000, Bulk: 512 << 10, Pipeline: 4096, Output: 4 << 20, Input: 64 << 20,
+			Partial: 10 * time.Second},
 		Backend: Backend{Connections: 16, Pipeline: 8, Connect: 250 * time.Millisecond, Load: "probe", Attempts: 3,
 			Parallel: true},
 	}
@@ -206,6 +208,7 @@
 		r.Fields(n, name, n.Args(), []sexp.Field{
 			sexp.IntField("connections", false, &c.Front.Connections, 1, 1<<20), sexp.IntField("bulk", false, &c.Front.Bulk, 64, 64<<20),
 			sexp.IntField("pipeline", false, &c.Front.Pipeline, 1, 1<<16), sexp.IntField("output", false, &c.Front.Output, 1<<10, 1<<30),
+			sexp.IntField("input", false, &c.Front.Input, 1<<20, 1<<34),
 			sexp.TimeField("partial", false, &c.Front.Partial, 100*time.Millisecond, time.Hour)})
 	case "backend":
 		loads := []string{"probe", "answer", "none"}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -1,39 +1,63 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"math"
+	"net"
+	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
 	"cometpond/internal/access"
 	"cometpond/internal/core"
+	"cometpond/internal/intake"
 	"cometpond/internal/resp"
 )
 
-// inputSlack is what a connection may send ahead beyond one largest argument, while answers are awaited.
-const inputSlack = 4 << 20
+// Bounds of what one connection may hold as input, bytes.
+const (
+	chunkMost    = 16 << 10 // of one read: what has come in before anything can be decided about it
+	strangerMost = 16 << 10 // of a command before login, with strangerArgs arguments
+	strangerArgs = 10
+	aheadMost    = 4 << 20 // of one command, or sent ahead while answers are awaited, beyond one largest argument
+)
 
 // conn is one client's connection. It belongs to its event loop's goroutine.
 type conn struct {
-	c       gnet.Conn
+	c       gnet.Conn // nil while it is parked
 	loop    *loop
 	id      uint64
 	client  *access.Client // nil until it has proved who it is
 	name    string         // as CLIENT SETNAME gave it
 	version int            // of RESP: 2 or 3
 	since   time.Time
-	need    int       // bytes before which another look is of no use
+	in      []byte    // what has come in and is not used yet: the head of a command, or commands to be read later
+	need    int       // length of in before which another look is of no use
 	partial time.Time // since when a command stands unfinished
 	args    [][]byte
 	queue   []*pending // commands whose answers have not been written, from head on
 	head    int
-	paused  bool // more commands lie unread
+	granted int  // bytes that in may hold by the pool's word
+	strange int  // bytes that the pool counts as a stranger's
+	paused  bool // more commands lie unread in in
 	dirty   bool
 	closed  bool
 	quit    bool // close once all is written
+
+	waits     bool     // for the pool's word: it is read no further
+	parking   bool     // about to leave the event loop
+	parked    net.Conn // outside the event loop, unread
+	ready     int      // while it is parked: the first in queue whose answer is awaited
+	returning bool     // on its way back to the event loop
+
+	out       []byte    // answers that the socket did not take yet
+	congested bool      // so many that no more are written for now
+	leftSince time.Time // when it last took some
 }
 
 // pending is a command whose answer is awaited, or stands ready behind others.
@@ -46,30 +70,58 @@
 
 func (k *conn) waiting() int { return len(k.queue) - k.head }
 
-// read parses and starts the commands that have come in.
-func (k *conn) read() gnet.Action {
-	l, s := k.loop, k.loop.s
-	have := k.c.InboundBuffered()
-	if have == 0 || k.quit || have < k.need && !k.paused {
-		return gnet.None
+// limits are the bounds of the next command.
+func (k *conn) limits() resp.Limits {
+	if k.client == nil {
+		return strangerLimits
 	}
-	if have > s.lim.Bulk+inputSlack {
-		s.cut.Add(1)
-		return gnet.Close
+	return k.loop.s.lim
+}
+
+var strangerLimits = resp.Limits{Bulk: strangerMost, Args: strangerArgs, Inline: strangerMost, Depth: 1, Whole: strangerMost}
+
+// arrived takes what one read has brought. Data lasts until it returns.
+func (k *conn) arrived(data []byte) gnet.Action {
+	if k.quit {
+		return gnet.None // nothing is read after the last command
 	}
-	buf, err := k.c.Peek(-1)
-	if err != nil {
-		return gnet.Close
+	src := data
+	if len(k.in) > 0 {
+		k.in = append(k.in, data...)
+		src = k.in
+	}
+	if k.congested {
+		k.paused = true // no more answers until it has read those that stand
+	} else if len(src) >= k.need && !k.paused {
+		return k.read(src)
+	}
+	if len(k.in) == 0 {
+		k.in = append(k.in, src...)
+	}
+	return k.hold()
+}
+
+// again reads on in what has come in before.
+func (k *conn) again() gnet.Action {
+	k.paused = false
+	if k.quit || len(k.in) == 0 || len(k.in) < k.need {
+		return k.pump()
 	}
+	return k.read(k.in)
+}
+
+// read parses and starts the commands at the start of src, which is in or what has just come, and keeps the rest.
+func (k *conn) read(src []byte) gnet.Action {
+	l, s := k.loop, k.loop.s
 	used := 0
 	var broken error
 	k.need, k.paused = 0, false
-	for used < len(buf) && !k.quit {
-		if k.waiting() >= s.opt.Bounds.Pipeline {
+	for used < len(src) && !k.quit {
+		if k.waiting() >= s.opt.Bounds.Pipeline || len(l.buf) >= outputBatch {
 			k.paused = true
 			break
 		}
-		args, n, need, err := resp.Command(buf[used:], k.args[:0], s.lim)
+		args, n, need, err := resp.Command(src[used:], k.args[:0], k.limits())
 		k.args = args
 		if errors.Is(err, resp.ErrIncomplete) {
 			k.need = need
@@ -84,16 +136,20 @@
 			k.command(args)
 		}
 	}
+	clear(k.args)
 	if used > 0 {
 		k.partial = time.Time{}
 	}
 	if k.need > 0 && k.partial.IsZero() {
 		k.partial = time.Now()
 	}
-	if used > 0 { // Discard(0) would throw away all that has come in, the head of an unfinished command with it
-		if _, err := k.c.Discard(used); err != nil {
-			return gnet.Close
-		}
+	switch rest := src[used:]; {
+	case len(rest) == 0 || k.quit || broken != nil:
+		k.in = nil // an idle connection holds nothing
+	case len(k.in) > 0 && used > 0:
+		k.in = k.in[:copy(k.in, rest)]
+	case len(k.in) == 0:
+		k.in = append(make([]byte, 0, max(len(rest), min(k.need, chunkMost))), rest...)
 	}
 	k.submit()
 	if broken != nil {
@@ -104,7 +160,137 @@
 	if act := l.write(k); act != gnet.None {
 		return act
 	}
-	return k.pump()
+	if act := k.pump(); act != gnet.None {
+		return act
+	}
+	if k.congested && len(k.in) > 0 {
+		k.paused = true
+	} else if k.paused && k.waiting() < s.opt.Bounds.Pipeline { // stopped for the sake of the output alone
+		return k.again()
+	}
+	return k.hold()
+}
+
+// hold asks for the room that the rest of the input takes, and has the connection read no further without it.
+func (k *conn) hold() gnet.Action {
+	s := k.loop.s
+	if k.client == nil {
+		if k.strange = len(k.in); s.stranger(k, len(k.in)) == intake.Cut {
+			s.cut.Add(1)
+			k.in, k.quit = nil, true
+			k.say(func(b []byte) []byte {
+				return resp.AppendError(b, "ERR too much input of clients that have not logged in")
+			})
+			if act := k.loop.write(k); act != gnet.None {
+				return act
+			}
+			return k.pump()
+		}
+		return gnet.None
+	}
+	if k.strange > 0 {
+		k.strange = 0
+		s.stranger(k, 0)
+	}
+	want := max(len(k.in), k.need)
+	switch {
+	case want <= chunkMost:
+		if k.granted > 0 {
+			k.granted = 0
+			s.done(k)
+		}
+		return gnet.None
+	case k.paused:
+		return k.park()
+	case want <= k.granted:
+		return gnet.None
+	}
+	if s.ask(k, want) == intake.Go {
+		k.granted = want
+		if k.need > cap(k.in) {
+			k.in = append(make([]byte, 0, k.need), k.in...)
+		}
+		return gnet.None
+	}
+	k.waits = true
+	return k.park()
+}
+
+// park takes the connection out of the event loop: the socket stays open and unread, so that the client waits.
+// gnet has no other way to stop reading. The caller closes the connection, and OnClose keeps the socket.
+func (k *conn) park() gnet.Action {
+	k.parking = true
+	return gnet.Close
+}
+
+// keep parks the connection while gnet closes its own descriptor of it; false if that can't be done.
+func (k *conn) keep(c gnet.Conn) bool {
+	if !k.parking {
+		return false
+	}
+	k.parking = false
+	fd, err := c.Dup()
+	if err != nil {
+		return false
+	}
+	f := os.NewFile(uintptr(fd), "parked")
+	defer f.Close()
+	if k.parked, err = net.FileConn(f); err != nil {
+		k.parked = nil
+		return false
+	}
+	k.c, k.ready = nil, k.head
+	k.loop.s.parks.Add(1)
+	return true
+}
+
+// unpark has the connection read again. It comes back through OnOpen, or is lost.
+func (k *conn) unpark() {
+	l, s := k.loop, k.loop.s
+	c := k.parked
+	k.parked, k.returning = nil, true
+	if !s.returning() {
+		c.Close()
+		l.lost(k)
+		return
+	}
+	back, err := l.el.Enroll(gnet.NewContext(context.Background(), k), c)
+	if err != nil {
+		s.returns.Done()
+		c.Close()
+		l.lost(k)
+		return
+	}
+	go func() {
+		defer s.returns.Done()
+		if r := <-back; r.Err != nil {
+			// An error of Execute means that the engine shuts down, which closes everything.
+			_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { l.lost(k); return nil }))
+		}
+	}()
+}
+
+// resume goes on once there is room: the pool's word, or answers that were awaited.
+func (k *conn) resume() gnet.Action {
+	switch {
+	case k.closed || k.returning:
+		return gnet.None
+	case k.parked != nil:
+		for k.ready < len(k.queue) && k.queue[k.ready].done {
+			k.ready++
+		}
+		if !k.waits && !k.congested && (!k.paused || len(k.queue)-k.ready <= k.loop.s.opt.Bounds.Pipeline/2) {
+			k.unpark()
+		}
+		return gnet.None
+	}
+	if act := k.pump(); act != gnet.None || k.congested {
+		return act
+	}
+	if k.paused && k.waiting() <= k.loop.s.opt.Bounds.Pipeline/2 {
+		return k.again()
+	}
+	return gnet.None
 }
 
 // submit hands the commands parsed so far to the core, and refuses those that its queue has no room for.
@@ -135,33 +321,87 @@
 	k.say(func(b []byte) []byte { return resp.AppendError(b, text) })
 }
 
-// write sends what stands in the loop's buffer.
+// Bounds of output.
+const (
+	outputBatch = 64 << 10             // bytes of answers gathered before they are written
+	congestMost = 256 << 10            // bytes unsent, from which on no more are written, or half of what the settings allow
+	behindCheck = 2 * time.Millisecond // between two looks at clients that do not read as fast as they are answered
+)
+
+// write sends what stands in the loop's buffer. What the socket does not take is kept here and not in gnet's
+// buffer, so that a connection can be parked at any time; past a bound no more is written until the client has
+// read.
 func (l *loop) write(k *conn) gnet.Action {
 	if len(l.buf) == 0 {
 		return gnet.None
 	}
-	_, err := k.c.Write(l.buf)
+	b := l.buf
+	if len(k.out) == 0 {
+		n, err := k.send(b)
+		if err != nil {
+			l.buf = l.buf[:0]
+			return gnet.Close
+		}
+		b = b[n:]
+	}
+	if len(b) > 0 {
+		if len(k.out) == 0 {
+			k.leftSince = time.Now()
+			l.fellBehind(k)
+		}
+		k.out = append(k.out, b...)
+		k.congested = len(k.out) > min(congestMost, l.s.opt.Bounds.Output/2)
+	}
 	l.buf = l.buf[:0]
 	if cap(l.buf) > 1<<20 {
 		l.buf = nil
 	}
-	if err != nil || k.closed {
-		return gnet.Close
+	return gnet.None
+}
+
+// send writes what the socket takes, without waiting.
+func (k *conn) send(b []byte) (n int, err error) {
+	if k.c != nil {
+		return sendTo(k.c.Fd(), b)
 	}
-	if k.c.OutboundBuffered() > l.s.opt.Bounds.Output {
-		l.s.cut.Add(1)
-		return gnet.Close
+	raw, err := k.parked.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, err
 	}
-	return gnet.None
+	if e := raw.Write(func(fd uintptr) bool { n, err = sendTo(int(fd), b); return true }); e != nil {
+		return 0, e
+	}
+	return n, err
+}
+
+func sendTo(fd int, b []byte) (sent int, err error) {
+	for sent < len(b) {
+		n, err := unix.Write(fd, b[sent:])
+		switch {
+		case err == unix.EINTR:
+		case err == unix.EAGAIN:
+			return sent, nil
+		case err != nil:
+			return sent, err
+		default:
+			sent += n
+		}
+	}
+	return sent, nil
 }
 
 // pump writes the answers that stand ready, in the order of their commands.
 func (k *conn) pump() gnet.Action {
 	l := k.loop
-	for k.head < len(k.queue) && k.queue[k.head].done {
+	for k.head < len(k.queue) && k.queue[k.head].done && !k.congested {
 		l.buf = k.append(l.buf, k.queue[k.head])
 		k.queue[k.head] = nil
 		k.head++
+		if len(l.buf) >= outputBatch {
+			if act := l.write(k); act != gnet.None {
+				return act
+			}
+		}
 	}
 	if k.head == len(k.queue) {
 		k.queue, k.head = k.queue[:0], 0
@@ -173,7 +413,7 @@
 	if act := l.write(k); act != gnet.None {
 		return act
 	}
-	if k.quit && k.waiting() == 0 {
+	if k.quit && k.waiting() == 0 && len(k.out) == 0 {
 		return gnet.Close
 	}
 	return gnet.None
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -19,6 +19,7 @@
 	"cometpond/internal/access"
 	"cometpond/internal/config"
 	"cometpond/internal/core"
+	"cometpond/internal/intake"
 	"cometpond/internal/netlog"
 	"cometpond/internal/resp"
 )
@@ -42,6 +43,8 @@
 // Counts are totals since the start.
 type Counts struct {
 	Opened, Open, Commands, Cut, Denied uint64
+	Parked                              uint64 // times that a connection was left unread for a while
+	Input                               intake.Counts
 }
 
 // Server is the front on gnet's event loops.
@@ -60,18 +63,41 @@
 	mu    sync.Mutex
 	loops map[gnet.EventLoop]*loop
 
-	nextID                              atomic.Uint64
-	opened, open, commands, cut, denied atomic.Uint64
+	poolMu sync.Mutex // covers pool and asking
+	pool   *intake.Pool
+	asking map[uint64]*conn // connections that wait for the pool's word
+
+	returnMu sync.Mutex
+	stopped  bool           // no connection returns to its loop any more
+	returns  sync.WaitGroup // connections on their way back
+
+	nextID                                     atomic.Uint64
+	opened, open, commands, cut, denied, parks atomic.Uint64
 }
 
+// passAfter is how long a connection waits for memory until none passes it, seconds.
+const passAfter = 2
+
 // Start listens and serves until Stop.
 func Start(c Core, opt Options) (*Server, error) {
 	s := &Server{opt: opt, core: c, booted: make(chan struct{}), ran: make(chan error, 1), stop: make(chan struct{}),
 		loops: map[gnet.EventLoop]*loop{}}
+	// gnet's listener ends for good when it is refused a descriptor, so connections end well before that.
+	var files unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &files); err == nil && files.Cur < 1<<30 {
+		if most := max(1, int(files.Cur)*3/4-64); s.opt.Bounds.Connections > most {
+			opt.Log.Warn().Int("connections", most).Uint64("descriptors", files.Cur).Msg("fewer connections than set: raise ulimit -n")
+			s.opt.Bounds.Connections = most
+		}
+	}
 	s.lim = resp.DefaultLimits
-	s.lim.Bulk = opt.Bounds.Bulk
+	s.lim.Bulk, s.lim.Whole = opt.Bounds.Bulk, opt.Bounds.Bulk+aheadMost
+	s.pool = intake.New(intake.Limits{Free: chunkMost, Total: max(opt.Bounds.Input, opt.Bounds.Bulk), Reserve: s.lim.Whole,
+		Strangers: max(opt.Bounds.Input/4, strangerMost), PassS: passAfter})
+	s.asking = map[uint64]*conn{}
 	go func() {
 		s.ran <- gnet.Run(s, "tcp://"+opt.Listen, gnet.WithNumEventLoop(max(1, opt.Loops)), gnet.WithReuseAddr(true),
+			gnet.WithReadBufferCap(chunkMost),
 			gnet.WithTCPKeepAlive(2*time.Minute), gnet.WithLogger(netlog.Logger{Log: opt.Log}), gnet.WithLogLevel(logging.ErrorLevel))
 	}()
 	select {
@@ -123,14 +149,19 @@
 	}
 	s.mu.Unlock()
 	for _, l := range loops {
-		done := make(chan struct{})
-		if l.el.Execute(ctx, gnet.RunnableFunc(func(context.Context) error { close(done); return nil })) != nil {
-			continue
-		}
-		select {
-		case <-done:
-		case <-ctx.Done():
-			return
+		for behind := 1; behind > 0; {
+			done := make(chan int, 1)
+			if l.el.Execute(ctx, gnet.RunnableFunc(func(context.Context) error { done <- len(l.behind); return nil })) != nil {
+				break
+			}
+			select {
+			case behind = <-done:
+			case <-ctx.Done():
+				return
+			}
+			if behind > 0 {
+				time.Sleep(behindCheck)
+			}
 		}
 	}
 }
@@ -140,15 +171,91 @@
 	s.Drain()
 	close(s.stop)
 	s.sweeper.Wait()
+	s.returnMu.Lock()
+	s.stopped = true
+	s.returnMu.Unlock()
+	s.returns.Wait()
 	if err := s.engine.Stop(ctx); err != nil {
 		return fmt.Errorf("stop the front: %w", err)
 	}
-	return <-s.ran
+	err := <-s.ran
+	for _, l := range s.loops { // the loops have ended: what they held is ours
+		for k := range l.conns {
+			if k.parked != nil {
+				k.parked.Close()
+				l.lost(k)
+			}
+		}
+	}
+	return err
+}
+
+// returning notes that a connection returns to its loop; false once the server stops.
+func (s *Server) returning() bool {
+	s.returnMu.Lock()
+	defer s.returnMu.Unlock()
+	if !s.stopped {
+		s.returns.Add(1)
+	}
+	return !s.stopped
+}
+
+func seconds() float64 { return time.Since(processStart).Seconds() }
+
+var processStart = time.Now()
+
+// stranger asks for room for a connection that has not logged in.
+func (s *Server) stranger(k *conn, bytes int) intake.Verdict {
+	s.poolMu.Lock()
+	defer s.poolMu.Unlock()
+	return s.pool.Stranger(k.id, bytes)
+}
+
+// ask asks for room for one that has.
+func (s *Server) ask(k *conn, bytes int) intake.Verdict {
+	s.poolMu.Lock()
+	defer s.poolMu.Unlock()
+	v, others := s.pool.Ask(seconds(), k.id, bytes)
+	if v == intake.Wait {
+		s.asking[k.id] = k
+	}
+	s.granted(others)
+	return v
+}
+
+// done gives back what a connection held.
+func (s *Server) done(k *conn) {
+	s.poolMu.Lock()
+	defer s.poolMu.Unlock()
+	s.granted(s.pool.Done(seconds(), k.id))
+}
+
+// leave forgets a connection.
+func (s *Server) leave(k *conn) {
+	s.poolMu.Lock()
+	defer s.poolMu.Unlock()
+	delete(s.asking, k.id)
+	s.granted(s.pool.Leave(seconds(), k.id))
+}
+
+// granted tells connections, on their own loops, that they may go on. The pool's lock is held.
+func (s *Server) granted(ids []uint64) {
+	for _, id := range ids {
+		k := s.asking[id]
+		delete(s.asking, id)
+		if k != nil {
+			// An error means that the engine shuts down.
+			_ = k.loop.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { k.loop.goOn(k); return nil }))
+		}
+	}
 }
 
 // Counts returns the totals so far.
 func (s *Server) Counts() Counts {
-	return Counts{s.opened.Load(), s.open.Load(), s.commands.Load(), s.cut.Load(), s.denied.Load()}
+	s.poolMu.Lock()
+	input := s.pool.Counts()
+	s.poolMu.Unlock()
+	return Counts{s.opened.Load(), s.open.Load(), s.commands.Load(), s.cut.Load(), s.denied.Load(), s.parks.Load(), input}
 }
 
 // loopOf returns what is kept for an event loop.
@@ -163,8 +270,18 @@
 	return l
 }
 
-// OnOpen takes a connection in.
+// OnOpen takes a connection in, a new one or one that was parked.
 func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	if k, ok := c.Context().(*conn); ok {
+		k.c, k.returning = c, false
+		if !k.partial.IsZero() {
+			k.partial = time.Now() // it was not the client that kept it waiting
+		}
+		if act := k.pump(); act != gnet.None || k.congested {
+			return nil, act
+		}
+		return nil, k.again()
+	}
 	s.opened.Add(1)
 	open := s.open.Add(1)
 	switch {
@@ -181,15 +298,26 @@
 	return nil, gnet.None
 }
 
-// OnClose forgets a connection and tells the core that nobody waits for its answers.
+// OnClose forgets a connection, unless it is to be parked.
 func (s *Server) OnClose(c gnet.Conn, err error) gnet.Action {
-	s.open.Add(^uint64(0))
 	k, ok := c.Context().(*conn)
-	if !ok {
-		return gnet.None
+	if !ok { // it was turned away
+		s.open.Add(^uint64(0))
+	} else if !k.keep(c) {
+		k.loop.lost(k)
 	}
+	return gnet.None
+}
+
+// lost forgets a connection that has ended and tells the core that nobody waits for its answers.
+func (l *loop) lost(k *conn) {
+	s := l.s
+	s.open.Add(^uint64(0))
 	k.closed = true
-	delete(k.loop.conns, k)
+	delete(l.conns, k)
+	if k.strange > 0 || k.granted > 0 || k.waits {
+		s.leave(k)
+	}
 	var gone []*core.Call
 	for _, p := range k.queue[k.head:] {
 		if p.call.Front != nil && !p.done {
@@ -199,8 +327,7 @@
 	if len(gone) > 0 {
 		s.core.Gone(gone)
 	}
-	k.queue = nil
-	return gnet.None
+	k.queue, k.head, k.in = nil, 0, nil
 }
 
 // OnTraffic reads what has come.
@@ -209,7 +336,13 @@
 	if !ok {
 		return gnet.Close
 	}
-	return k.read()
+	// Next(-1) takes all that has come in, which lies in the loop's own buffer until this returns. Discard is
+	// not used: with 0 it throws away everything.
+	data, err := c.Next(-1)
+	if err != nil {
+		return gnet.Close
+	}
+	return k.arrived(data)
 }
 
 // sweep looks once a second for connections that take up room and do nothing with it.
@@ -224,6 +357,9 @@
 		case <-tick.C:
 		}
 		s.mu.Lock()
+		s.poolMu.Lock()
+		s.granted(s.pool.Tick(seconds()))
+		s.poolMu.Unlock()
 		for el, l := range s.loops {
 			// An error means that the engine shuts down, and then nothing needs cutting.
 			_ = el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { l.sweep(); return nil }))
@@ -242,6 +378,9 @@
 	calls []*core.Call
 	dirty []*conn
 
+	behind   []*conn // those with answers that their sockets did not take
+	checking bool    // a look at them is on its way
+
 	mu    sync.Mutex
 	inbox []*core.Call
 	spare []*core.Call
@@ -280,25 +419,100 @@
 		if k.closed {
 			continue
 		}
-		act := k.pump()
-		if act == gnet.None && k.paused && k.waiting() <= l.s.opt.Bounds.Pipeline/2 {
-			act = k.read()
-		}
-		if act == gnet.Close {
-			_ = l.el.Close(k.c)
-		}
+		l.act(k, k.resume())
 	}
 	clear(l.dirty)
 	l.dirty = l.dirty[:0]
 	return nil
 }
 
-// sweep cuts connections whose command stays unfinished, who never say who they are, or who never read.
+// act carries out what came of a connection outside gnet's own calls.
+func (l *loop) act(k *conn, act gnet.Action) {
+	if act == gnet.Close {
+		l.cut(k)
+	}
+}
+
+// goOn has a connection read on: the pool has granted what it asked for.
+func (l *loop) goOn(k *conn) {
+	if k.closed {
+		l.s.leave(k) // it left while the word was on its way
+		return
+	}
+	k.waits = false
+	k.granted = max(len(k.in), k.need)
+	if !k.partial.IsZero() {
+		k.partial = time.Now()
+	}
+	l.act(k, k.resume())
+}
+
+// fellBehind has the loop look again soon whether a client has read: a parked socket tells nobody.
+func (l *loop) fellBehind(k *conn) {
+	l.behind = append(l.behind, k)
+	if !l.checking {
+		l.check()
+	}
+}
+
+func (l *loop) check() {
+	l.checking = true
+	time.AfterFunc(behindCheck, func() {
+		// An error means that the engine shuts down.
+		_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { l.relieve(); return nil }))
+	})
+}
+
+// relieve writes on to clients that have read, and cuts those that have taken nothing for too long.
+func (l *loop) relieve() {
+	list := l.behind
+	l.behind, l.checking = nil, false
+	for _, k := range list {
+		if k.closed {
+			continue
+		}
+		if k.returning {
+			l.behind = append(l.behind, k)
+			continue
+		}
+		n, err := k.send(k.out)
+		if n > 0 {
+			k.leftSince = time.Now()
+			k.out = k.out[:copy(k.out, k.out[n:])]
+		}
+		if k.congested = len(k.out) > min(congestMost, l.s.opt.Bounds.Output/2); len(k.out) > 0 {
+			l.behind = append(l.behind, k)
+		} else {
+			k.out = nil
+		}
+		if err != nil || len(k.out) > 0 && time.Since(k.leftSince) > l.s.opt.Bounds.Partial {
+			l.s.cut.Add(1)
+			l.cut(k)
+		} else if !k.congested {
+			l.act(k, k.resume())
+		}
+	}
+	if len(l.behind) > 0 && !l.checking {
+		l.check()
+	}
+}
+
+// cut ends a connection, in the event loop or parked.
+func (l *loop) cut(k *conn) {
+	if k.c != nil {
+		_ = l.el.Close(k.c) // an error is the system's about a descriptor that is gone
+	} else if k.parked != nil {
+		k.parked.Close()
+		l.lost(k)
+	}
+}
+
+// sweep cuts connections whose command stays unfinished, or who never say who they are.
 func (l *loop) sweep() {
 	now, most := time.Now(), l.s.opt.Bounds.Partial
 	for k := range l.conns {
-		slow := !k.partial.IsZero() && now.Sub(k.partial) > most || k.client == nil && now.Sub(k.since) > most
-		if slow || k.c.OutboundBuffered() > l.s.opt.Bounds.Output {
+		slow := !k.partial.IsZero() && now.Sub(k.partial) > most && !k.waits || k.client == nil && now.Sub(k.since) > most
+		if slow && k.c != nil && !k.congested {
 			l.s.cut.Add(1)
 			_ = l.el.Close(k.c)
 		}
--- a/internal/resp/parse.go
+++ b/internal/resp/parse.go
@@ -16,6 +16,7 @@
 	Args   int // arguments of one command, or elements of a reply in all, 1 at least
 	Inline int // bytes of a line: an inline command, a header, a simple string
 	Depth  int // levels of nested arrays, maps and sets in a reply
+	Whole  int // bytes of one command in all, 0: not bounded
 }
 
 // DefaultLimits suit commands and answers of some hundred kilobytes.
@@ -105,7 +106,10 @@
 		if !ok || size < 0 || size > lim.Bulk {
 			return args, 0, 0, ProtocolError("invalid bulk length")
 		}
-		if at = next + size + 2; at > len(buf) {
+		if at = next + size + 2; lim.Whole > 0 && at > lim.Whole {
+			return args, 0, 0, ProtocolError("too big request")
+		}
+		if at > len(buf) {
 			return args, 0, at, ErrIncomplete
 		}
 		if buf[at-2] != '\r' || buf[at-1] != '\n' {
@@ -177,19 +181,25 @@
 // Reply returns the length of the reply at the start of buf. Attributes that precede it are part of it.
 // Errors are ErrIncomplete and ProtocolError.
 func Reply(buf []byte, lim Limits) (int, error) {
+	n, _, err := ReplyNeed(buf, lim)
+	return n, err
+}
+
+// ReplyNeed is Reply that tells with ErrIncomplete the least length of buf at which another look is worth it.
+func ReplyNeed(buf []byte, lim Limits) (n, need int, err error) {
 	at, elements := 0, lim.Args
 	var open [32]int // elements left on each open level
 	depth := 0
 	for {
 		if at >= len(buf) {
-			return 0, ErrIncomplete
+			return 0, at + 1, ErrIncomplete
 		}
 		head, next, err := line(buf, at, lim.Inline)
 		if err != nil {
-			return 0, err
+			return 0, len(buf) + 1, err
 		}
 		if len(head) == 0 {
-			return 0, ProtocolError("empty line in place of a reply")
+			return 0, 0, ProtocolError("empty line in place of a reply")
 		}
 		attribute, children := false, 0
 		switch kind := head[0]; kind {
@@ -198,42 +208,42 @@
 		case '$', '!', '=':
 			size, ok := number(head[1:])
 			if !ok || size < -1 || size > lim.Bulk {
-				return 0, ProtocolError("invalid bulk length")
+				return 0, 0, ProtocolError("invalid bulk length")
 			}
 			if at = next; size >= 0 {
 				at = next + size + 2
 			}
 			if at > len(buf) {
-				return 0, ErrIncomplete
+				return 0, at, ErrIncomplete
 			}
 			if size >= 0 && (buf[at-2] != '\r' || buf[at-1] != '\n') {
-				return 0, ProtocolError("bulk string not ended by CRLF")
+				return 0, 0, ProtocolError("bulk string not ended by CRLF")
 			}
 		case '*', '~', '>', '%', '|':
 			size, ok := number(head[1:])
 			if !ok || size < -1 {
-				return 0, ProtocolError("invalid multibulk length")
+				return 0, 0, ProtocolError("invalid multibulk length")
 			}
 			children = max(size, 0)
 			if children > elements {
-				return 0, ProtocolError("too many elements")
+				return 0, 0, ProtocolError("too many elements")
 			}
 			if kind == '%' || kind == '|' {
 				children *= 2
 			}
 			if elements -= children; elements < 0 {
-				return 0, ProtocolError("too many elements")
+				return 0, 0, ProtocolError("too many elements")
 			}
 			attribute, at = kind == '|', next
 		default:
-			return 0, ProtocolError("unknown reply type '" + printable(kind) + "'")
+			return 0, 0, ProtocolError("unknown reply type '" + printable(kind) + "'")
 		}
 		if attribute {
 			children++ // the reply that it belongs to follows in its place
 		}
 		if children > 0 {
 			if depth >= min(lim.Depth, len(open)) {
-				return 0, ProtocolError("reply nested too deeply")
+				return 0, 0, ProtocolError("reply nested too deeply")
 			}
 			open[depth] = children
 			depth++
@@ -246,7 +256,7 @@
 			depth--
 		}
 		if depth == 0 {
-			return at, nil
+			return at, 0, nil
 		}
 	}
 }
