--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -76,7 +76,7 @@
 		}},
 		"sent late in a stall": {Lost, func(r *Record) { // what the instance held is past its deadline whatever stood still
 			r.Stalls, r.Tries[0].EndAt = []Stall{{0, at(1.05), at(6), false}}, at(6.1)
-			r.Arrivals[1].At = at(6.05)
+			r.Arrivals[1].At, r.Notices = at(6.05), r.Notices[:1]
 		}},
 		"work of no client":    {Lost, func(r *Record) { r.Arrivals[1].Try = "zz" }},
 		"unsafe ran twice":     {Repeat, func(r *Record) { r.Arrivals = append(r.Arrivals, r.Arrivals[3]) }},
