Boxes that left the list for good are forgotten once nothing can hang on them

Need: a list whose addresses change for ever grew the module, the table of keys and the pool of connections without end.

Change: the module forgets a server that is off the list for a minute and twice the longest memory of keys and has no attempt out; the table of keys after eight times that memory, by when its group is dark by either measure, and groups with their last box; the pool as soon as nothing is open, out or being opened. The order of events keeps drains and key memory: a box that is forgotten is one not known.

Measured: 100,000 addresses in lists of a hundred: bounded in all three, tested; a server with an attempt out stays.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -175,6 +175,13 @@
 			}
 		}
 	}
+	for addr, b := range p.boxes {
+		b.mu.Lock()
+		if b.conns.Forgettable() && b.probe == nil && b.probing == nil {
+			delete(p.boxes, addr) // until it is listed again; what is sent to it meanwhile never ran
+		}
+		b.mu.Unlock()
+	}
 	p.mu.Unlock()
 }
 
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -311,3 +311,27 @@
 		}
 	}
 }
+
+// A list whose addresses change for ever grows no memory.
+func TestAddressesThatChangeForEver(t *testing.T) {
+	b := newPeerBox(t)
+	addr := b.ln.Addr().String()
+	p, s := setup(t, nil, addr)
+	p.Send(attempt(0), addr, do(0), 10)
+	k := b.next(t)
+	for i := range 1000 {
+		var list []policy.Server
+		for n := range 100 {
+			list = append(list, policy.Server{ID: fmt.Sprintf("127.1.%d.%d:1", i, n)})
+		}
+		p.Servers(list, true)
+	}
+	p.mu.Lock()
+	kept := len(p.boxes)
+	p.mu.Unlock()
+	if kept != 101 { // those listed, and the one with an attempt out
+		t.Errorf("%d boxes kept, want 101", kept)
+	}
+	_, _ = k.c.Write([]byte("+OK\r\n"))
+	s.expect(t, 0, policy.OK, "+OK\r\n")
+}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -171,7 +171,12 @@
 
 // NewMachine returns the state of an instance at its start.
 func NewMachine(s policy.Settings, seed uint64, now float64, fx Effects) (*Machine, error) {
-	m := &Machine{settings: s, fx: fx, now: now, keys: keys.New(), plans: map[string]*policy.Plan{}}
+	m := &Machine{settings: s, fx: fx, now: now, plans: map[string]*policy.Plan{}}
+	longest := 0.0
+	for _, c := range s.Classes {
+		longest = max(longest, c.KeyTTLS)
+	}
+	m.keys = keys.New(longest)
 	for i := range s.Plans {
 		m.plans[s.Plans[i].Name] = &s.Plans[i]
 	}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -29,6 +29,9 @@
 	// ownHold is the same where the list still names boxes but none takes a connection. Other instances may
 	// still reach them, so only an outage far longer than the memory counts.
 	ownHold = 4.0
+	// goneHold is how long a box must be off the list before it is forgotten, in times the longest memory of
+	// keys: by then its group is dark by either measure, and no key that ran there is remembered.
+	goneHold = 2 * ownHold
 	// most is how many keys are remembered; the oldest that have ended go first.
 	most = 1 << 18
 	// mostBytes bounds the answers kept for repeats; the oldest go first, their group is still known.
@@ -76,11 +79,13 @@
 	bytes   int
 	boxes   map[string]*box
 	groups  map[policy.Scope][]*group
+	longest float64 // memory of keys, seconds
 }
 
 type box struct {
 	policy.Server
 	lostAt float64 // since when it takes no connection, 0: it does
+	goneAt float64 // since when it is off the list, 0: it is on it
 }
 
 // group is the boxes that share a memory of keys.
@@ -91,9 +96,9 @@
 	unnamed float64 // since when the list names none that is up, 0: it does
 }
 
-// New returns an empty table.
-func New() *Table {
-	return &Table{entries: map[string]*Entry{}, boxes: map[string]*box{}, groups: map[policy.Scope][]*group{}}
+// New returns an empty table. Longest is the longest time for which boxes remember a key, seconds.
+func New(longest float64) *Table {
+	return &Table{longest: longest, entries: map[string]*Entry{}, boxes: map[string]*box{}, groups: map[policy.Scope][]*group{}}
 }
 
 // Servers takes in the list of boxes, as the policy module does.
@@ -118,13 +123,23 @@
 			}
 		}
 	}
+	for id, b := range t.boxes {
+		switch {
+		case b.State != policy.Removed:
+			b.goneAt = 0
+		case b.goneAt == 0:
+			b.goneAt = now
+		case now-b.goneAt > goneHold*t.longest:
+			delete(t.boxes, id)
+		}
+	}
 	for _, scope := range []policy.Scope{policy.ScopeZone, policy.ScopeCell} {
 		t.regroup(now, scope)
 	}
 }
 
-// regroup makes the groups anew and keeps since when each has been without a box that is up. A group once
-// known stays, so that its darkness can be measured.
+// regroup makes the groups anew and keeps since when each has been without a box that is up. A group stays while
+// any of its boxes is known, so that its darkness can be measured.
 func (t *Table) regroup(now float64, scope policy.Scope) {
 	byName := map[string]*group{}
 	for _, g := range t.groups[scope] {
@@ -136,12 +151,14 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
+	named := map[string]bool{}
 	for _, id := range ids {
 		b := t.boxes[id]
 		name := b.Zone
 		if scope == policy.ScopeCell {
 			name = fmt.Sprintf("%s/%d", b.Zone, b.Cell)
 		}
+		named[name] = true
 		g := byName[name]
 		if g == nil {
 			g = &group{name: name, hash: xxh3.HashString(name)}
@@ -159,6 +176,8 @@
 			g.unnamed = now
 		}
 	}
+	// A group whose boxes are all forgotten has long been dark: not known is the same.
+	t.groups[scope] = slices.DeleteFunc(t.groups[scope], func(g *group) bool { return !named[g.name] })
 	slices.SortFunc(t.groups[scope], func(a, b *group) int {
 		if a.name < b.name {
 			return -1
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -30,7 +30,7 @@
 func zoneOf(id string) string { return "room" + fmt.Sprint(int(id[3]-'0')/2) }
 
 func fleet() *Table {
-	t := New()
+	t := New(2)
 	t.Servers(0, rooms(0, 0, 0, 0, 0, 0), true)
 	return t
 }
@@ -227,3 +227,49 @@
 		t.Fatalf("%d keys, %d bytes after all have lapsed", tab.Len(), tab.bytes)
 	}
 }
+
+// Boxes that leave the list for good are forgotten once no key that ran there can be remembered, and their
+// groups with them; until then the group is kept and found dark by its time.
+func TestAddressesThatChangeForEver(t *testing.T) {
+	const ttl = 2.0
+	table, now := New(ttl), 1000.0
+	most := 0
+	for i := range 100_000 {
+		now += 0.01
+		if i%100 == 0 {
+			var list []policy.Server
+			for k := range 100 {
+				list = append(list, policy.Server{ID: fmt.Sprint("box", i+k), Zone: fmt.Sprint("room", (i+k)/1000), Cell: i / 100})
+			}
+			table.Servers(now, list, true)
+		}
+		most = max(most, len(table.boxes))
+	}
+	if bound := int(100*(goneHold*ttl+1)) + 300; most > bound {
+		t.Errorf("%d boxes kept at once, want %d at most", most, bound)
+	}
+	if n := len(table.groups[policy.ScopeZone]) + len(table.groups[policy.ScopeCell]); n > 40 {
+		t.Errorf("%d groups kept", n)
+	}
+	table = New(ttl)
+	table.Servers(0, []policy.Server{{ID: "a", Zone: "x"}, {ID: "b", Zone: "y"}}, true)
+	key := ""
+	for i := 0; key == ""; i++ { // a key whose home is room x
+		if k := fmt.Sprint(i); table.Home(0, k, policy.ScopeZone, ttl) == "a" {
+			key = k
+		}
+	}
+	table.Servers(1, []policy.Server{{ID: "b", Zone: "y"}}, true)
+	for _, c := range []struct {
+		at   float64
+		want string
+	}{{1.5, "a"}, {3.5, "b"}, {1 + goneHold*ttl + 1, "b"}} {
+		table.Servers(c.at, []policy.Server{{ID: "b", Zone: "y"}}, true)
+		if got := table.Home(c.at, key, policy.ScopeZone, ttl); got != c.want {
+			t.Errorf("at %v the key belongs to %q, want %q", c.at, got, c.want)
+		}
+	}
+	if len(table.boxes) != 1 {
+		t.Errorf("%d boxes known, want the one that is listed", len(table.boxes))
+	}
+}
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -281,6 +281,11 @@
 	}
 }
 
+// Forgettable tells that nothing is left of a retired box: no connection, none being opened, and no attempt.
+func (b *Box) Forgettable() bool {
+	return b.retired && len(b.links) == 0 && b.dialing == 0 && len(b.flights) == 0
+}
+
 // Listed takes Retire back.
 func (b *Box) Listed() { b.retired = false }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -946,3 +946,37 @@
 		}
 	}
 }
+
+// A list whose addresses change for ever grows no memory, and a server that left stays known while a key that ran
+// there may be remembered, or an attempt is out.
+func TestAddressesThatChangeForEver(t *testing.T) {
+	g, r := gateway(t, alone)
+	g.Servers(100, []Server{{ID: "old", Zone: "z"}}, true)
+	ask(g, 100, "q", "read", "wide", 1)
+	if len(r.of("send", "q")) != 1 {
+		t.Fatal("not sent")
+	}
+	now := 100.0
+	for i := range 1000 {
+		now++
+		var list []Server
+		for k := range 100 {
+			list = append(list, Server{ID: fmt.Sprint("s", i, "-", k), Zone: "a"})
+		}
+		g.Servers(now, list, true)
+		g.Timer(now, 1)
+	}
+	if most := 100 * int(forgetS+forgetS/4+3); len(g.servers) > most || len(g.byHash) > most {
+		t.Errorf("%d servers and %d hashes kept, want %d at most", len(g.servers), len(g.byHash), most)
+	}
+	if g.servers["old"] == nil {
+		t.Error("a server with an attempt out was forgotten")
+	}
+	g.Outcome(now, Outcome{ID: "q", Server: "old", Status: Timeout, Over: true})
+	for end := now + forgetS; now < end; now++ {
+		g.Timer(now, 1)
+	}
+	if g.servers["old"] != nil {
+		t.Error("a server that left is never forgotten")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,6 +29,7 @@
 	Server
 	hash         uint16
 	listed       bool
+	goneAt       float64 // when it was last listed, if it is not
 	inflight     int
 	speed        float64 // latency against the class's mean
 	sentAt       float64
@@ -62,11 +63,7 @@
 			s = newServer(g)
 			s.hash = uint16(hashOf(e.ID))
 			g.servers[e.ID] = s
-			if _, twice := g.byHash[s.hash]; twice {
-				g.byHash[s.hash] = nil // two of the same hash: what is told of either is not used
-			} else {
-				g.byHash[s.hash] = s
-			}
+			g.hashed(s)
 		} else if e.SinceS > s.SinceS {
 			restarted(s)
 		}
@@ -76,11 +73,21 @@
 	for _, s := range g.servers {
 		if s.listed {
 			g.order = append(g.order, s)
+			s.goneAt = g.now
 		}
 	}
 	slices.SortFunc(g.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
 
+// hashed makes a server known by its hash; of two of the same hash nothing that is told is used.
+func (g *Gateway) hashed(s *server) {
+	if _, twice := g.byHash[s.hash]; twice {
+		g.byHash[s.hash] = nil
+	} else {
+		g.byHash[s.hash] = s
+	}
+}
+
 // sentWithin sums the work sent to a cold server within the last so many seconds.
 func (s *server) sentWithin(now, span float64) (sum float64) {
 	keep := s.sentLog[:0]
@@ -491,6 +498,21 @@
 
 // forget drops customers unused for so long.
 func (g *Gateway) forget(age float64) {
+	longest := age // no key that ran at a forgotten server is still remembered there
+	for _, c := range g.classList {
+		longest = max(longest, 2*c.KeyTTLS)
+	}
+	for id, s := range g.servers {
+		if s.listed {
+			s.goneAt = g.now
+		} else if s.inflight == 0 && g.now-s.goneAt > longest {
+			delete(g.servers, id)
+		}
+	}
+	clear(g.byHash)
+	for _, s := range g.servers {
+		g.hashed(s)
+	}
 	for k, c := range g.custs {
 		if g.now-c.usedAt > age && c.out == 0 && len(c.asks) == 0 {
 			delete(g.custs, k)
