Calls are ruled on where they are read: the core runs on the loop that has them, if nobody else drives

Need: a limit asked for one at a time cost two hand-overs between goroutines, front to core and back. And the auditor took bytes held on the wire for late sends.

Change: Loop.Submit drives the machine itself when its turn is free and no stall has to be settled; a front's loop that is awake looks at its inbox before it sleeps. A parked connection that was reset, or that left the loop twice in a row, is no longer forgotten or cut (found by running the tests four at a time). Fuzz target for cutting.

--- /dev/null
+++ b/examples/trouble.sexp
@@ -0,0 +1,11 @@
+; Every kind of trouble, overlapping, over five instances: cometpond day examples/trouble.sexp
+(day (for 60s) (rate 250) (seed 11) (instances 5) (rooms 3) (boxes 15)
+  (at 100ms (pieces 65536) (for 59s))
+  (at 2s (lossy 0.3) (for 20s)) (at 3s (flood 8) (for 15s)) (at 3s (kill 1) (for 2s)) (at 4s (split 3) (for 8s))
+  (at 5s (silent 2) (for 6s)) (at 6s (reset 4)) (at 6s (stall 0) (for 3s)) (at 7s (sever 2)) (at 7s (drain 3) (for 12s))
+  (at 9s (slow 2) (for 5s)) (at 10s (hold 3) (for 2s)) (at 12s (hold-boxes 4) (for 2s)) (at 13s (move 0.5)) (at 14s (kill 2) (for 2s))
+  (at 16s (dark 1) (for 9s)) (at 17s (stall 4) (for 4s)) (at 18s (scan 0.3) (for 6s)) (at 19s (heavy 10) (for 5s)) (at 20s (kill 0) (for 1s))
+  (at 22s (mute 3) (for 5s)) (at 23s (burst 2) (for 4s)) (at 24s (split 2) (for 6s)) (at 26s (age 3) (for 8s)) (at 27s (sever 3))
+  (at 28s (trickle 300000) (for 3s)) (at 30s (stall 0) (for 2s)) (at 30s (stall 1) (for 2s)) (at 30s (stall 2) (for 2s)) (at 30s (stall 3) (for 2s)) (at 30s (stall 4) (for 2s))
+  (at 34s (drain 4) (for 10s)) (at 35s (kill 3) (for 2s)) (at 35s (kill 4) (for 2s)) (at 36s (lossy 0.5) (for 8s)) (at 38s (flood 10) (for 8s))
+  (at 40s (stall 0) (for 20s)) (at 41s (silent 3) (for 5s)) (at 44s (dark 2) (for 7s)) (at 46s (hold 1) (for 1s)) (at 47s (reset 6)) (at 50s (sever 2)) (at 52s (kill 1) (for 2s)))
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -62,10 +62,11 @@
 	Wrong                  bool // the answer was another's
 }
 
-// Stall is a time in which an instance stood still, or in which the wire between it and its clients did: then
-// it may not know how old a request is.
+// Stall is a time in which an instance stood still, or in which the wire between it and its clients did, or the
+// one to a box: then it may not know how old a request is, nor call back what it has sent.
 type Stall struct {
-	Instance int
+	Instance int    // without a box
+	Box      string // the wire to this box, from all instances
 	From, To time.Time
 	Wire     bool
 }
@@ -204,51 +205,64 @@
 		case t.End == Broken:
 			v.broke(Lost, "try %s lost its connection to instance %d, which ran on", t.ID, t.Instance)
 		case late > 0:
-			v.broke(Lost, "try %s was answered %v after its deadline", t.ID, late)
+			v.broke(Lost, "try %s (%s, sent at %s to instance %d, %s) was answered %v after its deadline", t.ID, t.Class,
+				t.SentAt.Format("15:04:05.000"), t.Instance, t.End, late)
 		}
 	}
-	for _, a := range r.Arrivals {
+	for i := range r.Arrivals {
+		a := &r.Arrivals[i]
 		t := tries[a.Try]
 		if t == nil {
 			v.broke(Lost, "%s got %s, which no client sent", a.Box, a.Try)
-		} else if answered(t.End) && a.At.Sub(t.EndAt) > r.Slack {
+			continue
+		}
+		way, late := r.onTheWire(t, a)
+		if answered(t.End) && a.At.Sub(t.EndAt)-late > r.Slack {
 			v.broke(Lost, "%s got try %s %v after its final answer", a.Box, a.Try, a.At.Sub(t.EndAt))
-		} else if c := classes[t.Class]; c != nil && a.At.Sub(t.SentAt)-r.onTheWire(t, a.At) > time.Duration(c.DeadlineS*1e9)+r.Slack {
+		} else if c := classes[t.Class]; c != nil && a.At.Sub(t.SentAt)-way > time.Duration(c.DeadlineS*1e9)+r.Slack {
 			v.broke(Lost, "%s got try %s %v after it was sent, past its deadline", a.Box, a.Try, a.At.Sub(t.SentAt))
 		}
 	}
 }
 
 // due is when a try's answer is due: by its deadline, or when its instance goes on after having stood still over
-// it. No stopped process can answer.
+// it. No stopped process can answer, and what is held on the wire comes as much later.
 func (r *Record) due(t *Try, c *policy.Class) time.Time {
 	due := t.SentAt.Add(time.Duration(c.DeadlineS * 1e9))
 	for _, s := range r.Stalls { // in the order of their beginnings
-		if s.Instance == t.Instance && !s.From.After(due.Add(r.Slack)) && s.To.After(due) {
+		switch {
+		case s.Box != "" || s.Instance != t.Instance || s.From.After(due.Add(r.Slack)) || s.To.Before(t.SentAt):
+		case s.Wire:
+			due = due.Add(s.within(t.SentAt, s.To))
+		case s.To.After(due):
 			due = s.To
-			if s.Wire { // it may have reached the instance only now
-				due = due.Add(time.Duration(c.DeadlineS * 1e9))
-			}
 		}
 	}
 	return due
 }
 
-// onTheWire is how long, at most, a try lay held up on its way to the instance before some time.
-func (r *Record) onTheWire(t *Try, before time.Time) (d time.Duration) {
+// within is how much of a stall lies between two times.
+func (s *Stall) within(from, to time.Time) time.Duration {
+	if from.Before(s.From) {
+		from = s.From
+	}
+	if to.After(s.To) {
+		to = s.To
+	}
+	return max(0, to.Sub(from))
+}
+
+// onTheWire is how long, at most, a try lay held up before it reached a box: on its way to the instance, and,
+// which is all that counts once it has been answered, on its way from there.
+func (r *Record) onTheWire(t *Try, a *Arrival) (before, after time.Duration) {
 	for _, s := range r.Stalls {
-		from, to := s.From, s.To
-		if from.Before(t.SentAt) {
-			from = t.SentAt
-		}
-		if to.After(before) {
-			to = before
-		}
-		if s.Wire && s.Instance == t.Instance && to.After(from) {
-			d += to.Sub(from)
+		if s.Box == a.Box {
+			after += s.within(t.SentAt, a.At)
+		} else if s.Wire && s.Box == "" && s.Instance == t.Instance {
+			before += s.within(t.SentAt, a.At)
 		}
 	}
-	return d
+	return before + after, after
 }
 
 func answered(e End) bool { return e == Served || e == Refused || e == Failed }
@@ -414,7 +428,7 @@
 }
 
 // shown is how many breaches of a rule are printed.
-const shown = 5
+const shown = 15
 
 // Write prints the verdict. Its last line is the sum.
 func (v *Verdict) Write(w io.Writer) error {
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -44,12 +44,15 @@
 		t.Fatalf("a clean record: %+v", v.Broken)
 	}
 	for name, change := range map[string]func(*Record){
-		"answered when it went on": func(r *Record) { r.Stalls, r.Tries[0].EndAt = []Stall{{0, at(1.05), at(6), false}}, at(6.1) },
+		"answered when it went on": func(r *Record) { r.Stalls, r.Tries[0].EndAt = []Stall{{From: at(1.05), To: at(6)}}, at(6.1) },
 		"two stalls": func(r *Record) {
-			r.Stalls, r.Tries[0].EndAt = []Stall{{0, at(6.05), at(9), false}, {0, at(1.05), at(6), false}}, at(9.1)
+			r.Stalls, r.Tries[0].EndAt = []Stall{{From: at(6.05), To: at(9)}, {From: at(1.05), To: at(6)}}, at(9.1)
+		},
+		"held on the way to the box": func(r *Record) {
+			r.Stalls, r.Arrivals[1].At = []Stall{{Box: "b2", From: at(1.05), To: at(1.6), Wire: true}}, at(1.62)
 		},
 		"held on the wire": func(r *Record) {
-			r.Stalls, r.Tries[0].EndAt = []Stall{{0, at(1.01), at(4), true}}, at(4.5)
+			r.Stalls, r.Tries[0].EndAt = []Stall{{From: at(1.01), To: at(4), Wire: true}}, at(4.5)
 			r.Arrivals[0].At, r.Arrivals[1].At = at(4.1), at(4.2)
 			r.Pushes, r.Notices = r.Pushes[:1], r.Notices[:1]
 		},
@@ -72,10 +75,13 @@
 		"another's answer":   {Lost, func(r *Record) { r.Tries[0].Wrong = true }},
 		"sent past its time": {Lost, func(r *Record) { r.Tries[0].End, r.Tries[0].Excused, r.Arrivals[1].At = Broken, true, at(3.3) }},
 		"late after a stall": {Lost, func(r *Record) {
-			r.Stalls, r.Tries[0].EndAt = []Stall{{0, at(1.05), at(6), false}}, at(6.3)
+			r.Stalls, r.Tries[0].EndAt = []Stall{{From: at(1.05), To: at(6)}}, at(6.3)
+		}},
+		"sent after answer, another's wire held": {Lost, func(r *Record) {
+			r.Stalls, r.Arrivals[1].At = []Stall{{Box: "b1", From: at(1.05), To: at(1.6), Wire: true}}, at(1.62)
 		}},
 		"sent late in a stall": {Lost, func(r *Record) { // what the instance held is past its deadline whatever stood still
-			r.Stalls, r.Tries[0].EndAt = []Stall{{0, at(1.05), at(6), false}}, at(6.1)
+			r.Stalls, r.Tries[0].EndAt = []Stall{{From: at(1.05), To: at(6)}}, at(6.1)
 			r.Arrivals[1].At, r.Notices = at(6.05), r.Notices[:1]
 		}},
 		"work of no client":    {Lost, func(r *Record) { r.Arrivals[1].Try = "zz" }},
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -54,10 +54,15 @@
 	held     int
 	wake     chan struct{}
 
-	fronts []frontBatch
-	spare  inbox
-	watch  stall.Watch
-	settle func() // waits until what lies in the sockets has come in
+	// turn is held by whoever drives the machine: Run's goroutine, or a front's that hands calls in while
+	// nobody else does. It covers all below.
+	turn    sync.Mutex
+	running bool
+	next    float64 // when Run's goroutine will look again by itself
+	fronts  []frontBatch
+	spare   inbox
+	watch   stall.Watch
+	settle  func() // waits until what lies in the sockets has come in
 }
 
 type inbox struct {
@@ -130,7 +135,8 @@
 }
 
 // Submit hands calls in and returns how many were taken, the first ones; the queue has no room for the
-// rest, and the caller refuses them. After the loop's end it takes none.
+// rest, and the caller refuses them. After the loop's end it takes none. The calls may be ruled on at once, on
+// the caller's goroutine, which must hold no lock that a Front, a Backend or Peers take.
 func (l *Loop) Submit(calls []*Call) int {
 	l.mu.Lock()
 	n := min(len(calls), mostCalls-len(l.in.calls))
@@ -140,12 +146,35 @@
 	l.in.calls = append(l.in.calls, calls[:n]...)
 	l.overfull += uint64(len(calls) - n)
 	l.mu.Unlock()
-	if n > 0 {
+	if n > 0 && !l.drive() {
 		l.notify()
 	}
 	return n
 }
 
+// drive takes in what has come on the caller's goroutine, which saves waking another; false if that is left to
+// Run's goroutine: it is at work, or has not looked at the clock for so long that it may have to settle first.
+func (l *Loop) drive() bool {
+	if !l.turn.TryLock() {
+		return false
+	}
+	defer l.turn.Unlock()
+	if !l.running || l.watch.Stood(l.clock.Now()) {
+		return false
+	}
+	l.swap()
+	l.batch(&l.spare)
+	return l.machine.Next() >= l.next
+}
+
+// swap takes the inbox, and tells what was counted so far.
+func (l *Loop) swap() {
+	l.mu.Lock()
+	l.in, l.spare = l.spare, l.in
+	l.counts, l.held = l.machine.Counts(), l.machine.Held()
+	l.mu.Unlock()
+}
+
 // Gone tells that the client of a taken call will not read its answer.
 func (l *Loop) Gone(calls []*Call) {
 	l.mu.Lock()
@@ -230,27 +259,30 @@
 func (l *Loop) Run(ctx context.Context) {
 	timer := time.NewTimer(idleWait)
 	defer timer.Stop()
-	for {
-		l.mu.Lock()
-		l.in, l.spare = l.spare, l.in
-		l.counts, l.held = l.machine.Counts(), l.machine.Held()
-		l.mu.Unlock()
-		if ctx.Err() != nil {
-			break
+	l.turn.Lock()
+	l.running = true
+	for ctx.Err() == nil {
+		l.swap()
+		if l.batch(&l.spare) {
+			l.turn.Unlock() // others may have waited for it
+			l.turn.Lock()
+			continue
+		}
+		now, wait := l.clock.Now(), idleWait
+		if l.next = l.machine.Next(); !math.IsInf(l.next, 1) {
+			wait = time.Duration(max(l.next-now, 0) * 1e9)
 		}
-		if !l.batch(&l.spare) {
-			wait := idleWait
-			if next := l.machine.Next() - l.clock.Now(); !math.IsInf(next, 1) {
-				wait = time.Duration(max(next, 0) * 1e9)
-			}
-			timer.Reset(wait)
-			select {
-			case <-l.wake:
-			case <-timer.C:
-			case <-ctx.Done():
-			}
+		l.turn.Unlock()
+		timer.Reset(wait)
+		select {
+		case <-l.wake:
+		case <-timer.C:
+		case <-ctx.Done():
 		}
+		l.turn.Lock()
 	}
+	defer l.turn.Unlock()
+	l.running = false
 	l.batch(&l.spare)
 	l.mu.Lock()
 	l.closed = true
--- a/internal/core/stalls.go
+++ b/internal/core/stalls.go
@@ -33,21 +33,22 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			_, _ = s.Age(0)
+			_, _ = s.Age(0, false)
 		}
 	}
 }
 
 // Age is how long ago, at most, what is read now from a connection may have been sent, in seconds, and the time
-// of this reading. ReadAt is the time of the connection's last one, 0 if it is not known.
-func (s *Stalls) Age(readAt float64) (ageS, now float64) {
+// of this reading. ReadAt is the time of the connection's last one, 0 if it is not known; parked tells that it was
+// not read since on purpose.
+func (s *Stalls) Age(readAt float64, parked bool) (ageS, now float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now = s.clock.Now()
 	if s.watch.Look(now) {
 		s.seen++
 	}
-	return s.watch.Age(readAt, now), now
+	return s.watch.Age(readAt, now, parked), now
 }
 
 // Seen is the number of stalls so far.
--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -420,19 +420,38 @@
 	f.mu.Unlock()
 }
 
-// held stops one direction between an instance and its clients for a while. To them it seems to stand still.
-func (f *fleet) held(ctx context.Context, i int, d time.Duration, hold func(on bool) func()) error {
+// wires has the wires in front of instances or boxes carry less, or nothing, for a while. To clients an instance
+// behind one seems to stand still.
+func (f *fleet) wires(ctx context.Context, instances, boxes []int, d time.Duration, change func(r *standin.Stream, on bool)) {
+	var list []*standin.Stream
+	var stalls []audit.Stall
+	for _, i := range instances {
+		list = append(list, f.fronts[i])
+		stalls = append(stalls, audit.Stall{Instance: i})
+	}
+	for _, i := range boxes {
+		list = append(list, f.backs[i])
+		stalls = append(stalls, audit.Stall{Box: f.backs[i].Addr()})
+	}
 	f.mu.Lock()
-	n := len(f.stalls)
-	f.stalls = append(f.stalls, audit.Stall{Instance: i, From: time.Now(), To: time.Now().Add(time.Hour), Wire: true})
+	from := len(f.stalls)
+	for _, s := range stalls {
+		s.From, s.To, s.Wire = time.Now(), time.Now().Add(time.Hour), true
+		f.stalls = append(f.stalls, s)
+	}
 	f.mu.Unlock()
-	hold(true)()
+	for _, r := range list {
+		change(r, true)
+	}
 	pause(ctx, d)
-	hold(false)()
+	for _, r := range list {
+		change(r, false)
+	}
 	f.mu.Lock()
-	f.stalls[n].To = time.Now()
+	for i := range stalls {
+		f.stalls[from+i].To = time.Now()
+	}
 	f.mu.Unlock()
-	return nil
 }
 
 // standing tells whether an instance stands still, or did a moment ago.
@@ -440,7 +459,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, s := range f.stalls {
-		if s.Instance == i && time.Since(s.To) < time.Second {
+		if s.Box == "" && s.Instance == i && time.Since(s.To) < time.Second {
 			return true
 		}
 	}
--- a/internal/day/play.go
+++ b/internal/day/play.go
@@ -147,10 +147,18 @@
 	}
 }
 
-func (p *play) streams(f func(*standin.Stream, int), n int) {
+// all returns the first n numbers.
+func all(n int) (list []int) {
+	for i := range n {
+		list = append(list, i)
+	}
+	return list
+}
+
+func (p *play) pieces(most int) {
 	for _, list := range [][]*standin.Stream{p.f.fronts, p.f.backs} {
 		for _, r := range list {
-			f(r, n)
+			r.Pieces(most)
 		}
 	}
 }
@@ -224,34 +232,24 @@
 	case "sever":
 		f.sever(n)
 	case "hold", "hold-boxes":
-		var list []*standin.Stream
+		hold := func(r *standin.Stream, on bool) { r.Hold(standin.Direction(salt%2), on) }
 		if e.Kind == "hold" {
-			list = f.fronts[n : n+1]
+			f.wires(ctx, []int{n}, nil, e.For, hold)
 		} else {
-			for _, i := range p.some(n, salt) {
-				list = append(list, f.backs[i])
-			}
+			f.wires(ctx, nil, p.some(n, salt), e.For, hold)
 		}
-		d := standin.Direction(salt % 2)
-		hold := func(on bool) func() {
-			return func() {
-				for _, r := range list {
-					r.Hold(d, on)
-				}
-			}
-		}
-		if e.Kind == "hold" {
-			return f.held(ctx, n, e.For, hold)
-		}
-		return while(hold(true), hold(false))
 	case "pieces":
-		return while(func() { p.streams((*standin.Stream).Pieces, n) }, func() { p.streams((*standin.Stream).Pieces, 0) })
+		return while(func() { p.pieces(n) }, func() { p.pieces(0) })
 	case "trickle":
-		trickle := func(r *standin.Stream, n int) { r.Trickle(float64(n)) }
-		return while(func() { p.streams(trickle, n) }, func() { p.streams(trickle, 0) })
+		f.wires(ctx, all(f.s.Instances), all(len(f.boxes)), e.For, func(r *standin.Stream, on bool) {
+			r.Trickle(0)
+			if on {
+				r.Trickle(e.Size)
+			}
+		})
 	case "slow":
-		all := p.some(len(f.boxes), 0)
-		return while(func() { p.each(all, func(b *standin.Box) { b.Slow(e.Size) }) }, func() { p.each(all, func(b *standin.Box) { b.Slow(1) }) })
+		every := p.some(len(f.boxes), 0)
+		return while(func() { p.each(every, func(b *standin.Box) { b.Slow(e.Size) }) }, func() { p.each(every, func(b *standin.Box) { b.Slow(1) }) })
 	case "age":
 		list := p.some(n, salt)
 		for i := 1; i <= 10 && pause(ctx, e.For/10); i++ {
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -40,7 +40,8 @@
 	need    int       // length of in before which another look is of no use
 	partial time.Time // since when a command stands unfinished
 	readAt  float64   // when something last came in
-	ageS    float64   // how long before that it may have been sent
+	old     float64   // when what is being read may have been sent, after a stall; 0: just now
+	oldNext float64   // the same of what came in last
 	args    [][]byte
 	queue   []*pending // commands whose answers have not been written, from head on
 	head    int
@@ -56,6 +57,7 @@
 	parked    net.Conn // outside the event loop, unread
 	ready     int      // while it is parked: the first in queue whose answer is awaited
 	returning bool     // on its way back to the event loop
+	unparks   uint64   // so many times so far
 
 	out       []byte    // answers that the socket did not take yet
 	congested bool      // so many that no more are written for now
@@ -82,6 +84,22 @@
 
 var strangerLimits = resp.Limits{Bulk: strangerMost, Args: strangerArgs, Inline: strangerMost, Depth: 1, Whole: strangerMost}
 
+// looked notes how old what comes in now may be. A command is as old as its first byte: one that began to come
+// in before a stall, or lay in the socket, is old however late its end comes.
+func (k *conn) looked(parked bool) {
+	if k.loop.s.opt.Age == nil {
+		return
+	}
+	age, now := k.loop.s.opt.Age(k.readAt, parked)
+	k.readAt, k.oldNext = now, 0
+	if age > 0 {
+		k.oldNext = now - age
+	}
+	if len(k.in) == 0 || k.old == 0 {
+		k.old = k.oldNext
+	}
+}
+
 // arrived takes what one read has brought. Data lasts until it returns.
 func (k *conn) arrived(data []byte) gnet.Action {
 	if k.quit {
@@ -140,7 +158,7 @@
 	}
 	clear(k.args)
 	if used > 0 {
-		k.partial = time.Time{}
+		k.partial, k.old = time.Time{}, k.oldNext // the rest is of the last read
 	}
 	if k.need > 0 && k.partial.IsZero() {
 		k.partial = time.Now()
@@ -241,6 +259,11 @@
 		k.parked = nil
 		return false
 	}
+	if k.parked.RemoteAddr() == nil { // reset meanwhile: nobody is at the other end, and Enroll could not cope
+		k.parked.Close()
+		k.parked = nil
+		return false
+	}
 	k.c, k.ready = nil, k.head
 	k.loop.s.parks.Add(1)
 	return true
@@ -251,6 +274,8 @@
 	l, s := k.loop, k.loop.s
 	c := k.parked
 	k.parked, k.returning = nil, true
+	k.unparks++
+	turn := k.unparks
 	if !s.returning() {
 		c.Close()
 		l.lost(k)
@@ -265,10 +290,14 @@
 	}
 	go func() {
 		defer s.returns.Done()
-		if r := <-back; r.Err != nil {
-			// An error of Execute means that the engine shuts down, which closes everything.
-			_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error { l.lost(k); return nil }))
-		}
+		<-back // has come through OnOpen by now, or never will
+		// An error of Execute means that the engine shuts down, which closes everything.
+		_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+			if k.returning && k.unparks == turn && !k.closed { // it may be parked and on its way once more
+				l.lost(k)
+			}
+			return nil
+		}))
 	}()
 }
 
@@ -463,7 +492,10 @@
 // ask starts a call and keeps its place among the answers.
 func (k *conn) ask(c core.Call) {
 	p := &pending{call: c, conn: k}
-	p.call.Front, p.call.Tag, p.call.AgeS = k.loop, p, k.ageS
+	p.call.Front, p.call.Tag = k.loop, p
+	if k.old > 0 {
+		p.call.AgeS = k.readAt - k.old
+	}
 	k.queue = append(k.queue, p)
 	k.loop.calls = append(k.loop.calls, &p.call)
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -121,13 +121,22 @@
 }
 
 func start(t testing.TB, change func(*config.Front)) (*Server, *scripted, string) {
+	t.Helper()
+	return startWith(t, change, nil)
+}
+
+func startWith(t testing.TB, change func(*config.Front), more func(*Options)) (*Server, *scripted, string) {
 	t.Helper()
 	s := newScripted()
 	b := config.Front{Connections: 1000, Bulk: 4096, Pipeline: 500, Output: 1 << 20, Partial: time.Minute}
 	if change != nil {
 		change(&b)
 	}
-	srv, err := Start(s, Options{Listen: "127.0.0.1:0", Loops: 2, Bounds: b, Book: book(t), Info: func() string { return "x:1" }, Log: zerolog.Nop()})
+	o := Options{Listen: "127.0.0.1:0", Loops: 2, Bounds: b, Book: book(t), Info: func() string { return "x:1" }, Log: zerolog.Nop()}
+	if more != nil {
+		more(&o)
+	}
+	srv, err := Start(s, o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -189,7 +198,8 @@
 	k.send(send)
 	got := make([]byte, len(want))
 	if n, err := io.ReadFull(k.r, got); err != nil || string(got) != want {
-		k.t.Fatalf("%q: got %q (%v), want %q", send, got[:n], err, want)
+		more, _ := k.r.Peek(min(k.r.Buffered(), 300))
+		k.t.Fatalf("%q: got %q (%v), want %q; then %q", send, got[:n], err, want, more)
 	}
 }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -38,8 +38,9 @@
 	Book   *access.Book
 	Info   func() string // the text of INFO
 	// Age tells how long ago, at most, what is read now from a connection may have been sent, and the time of
-	// this reading; readAt is the time of its last one. Nil: nothing is old.
-	Age func(readAt float64) (ageS, now float64)
+	// this reading; readAt is the time of its last one, and parked tells that it was not read since on purpose.
+	// Nil: nothing is old.
+	Age func(readAt float64, parked bool) (ageS, now float64)
 	// Read takes what has come in on a connection; nil: all of it. The rigs put the fault of losing some back.
 	Read func(c gnet.Conn) ([]byte, error)
 	Log  zerolog.Logger
@@ -282,6 +283,7 @@
 func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	if k, ok := c.Context().(*conn); ok {
 		k.c, k.returning = c, false
+		k.looked(true)
 		if !k.partial.IsZero() {
 			k.partial = time.Now() // it was not the client that kept it waiting
 		}
@@ -348,10 +350,18 @@
 	if err != nil {
 		return gnet.Close
 	}
-	if s.opt.Age != nil {
-		k.ageS, k.readAt = s.opt.Age(k.readAt)
+	k.looked(false)
+	l := k.loop
+	l.awake(true)
+	act := k.arrived(data)
+	for act == gnet.None && !l.awake(false) { // answers that came meanwhile, as a rule to what has just been read
+		l.awake(true)
+		_ = l.Run(context.Background())
 	}
-	return k.arrived(data)
+	if act != gnet.None && !l.awake(false) { // the connection ends: the answers are others', and their turn is next
+		l.sleep()
+	}
+	return act
 }
 
 // takeAll takes all that has come in, which lies in the loop's own buffer until OnTraffic returns. Discard is
@@ -396,13 +406,35 @@
 
 	mu    sync.Mutex
 	inbox []*core.Call
+	up    bool // the loop will look at inbox by itself
 	spare []*core.Call
 }
 
+// sleep has the loop look at its inbox in a turn of its own.
+func (l *loop) sleep() {
+	l.mu.Lock()
+	l.up = false
+	l.mu.Unlock()
+	// An error means that the engine shuts down and its connections are closed.
+	_ = l.el.Execute(context.Background(), l)
+}
+
+// awake notes whether the loop will look at its inbox by itself. It stays awake, and false is returned, while
+// something lies there.
+func (l *loop) awake(on bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !on && len(l.inbox) > 0 {
+		return false
+	}
+	l.up = on
+	return true
+}
+
 // Answered takes calls back from the core and wakes the loop.
 func (l *loop) Answered(calls []*core.Call) {
 	l.mu.Lock()
-	first := len(l.inbox) == 0
+	first := len(l.inbox) == 0 && !l.up
 	l.inbox = append(l.inbox, calls...)
 	l.mu.Unlock()
 	if first {
--- a/internal/front/wire_test.go
+++ b/internal/front/wire_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -170,3 +171,78 @@
 		}
 	})
 }
+
+// A command is as old as its first byte: one that lay half in the socket during a stall is old when its end comes,
+// and the one behind it, which came later, is not.
+func TestAgeOfCommandsAfterAStall(t *testing.T) {
+	var mu sync.Mutex
+	age, looks := 0.0, 0
+	set := func(x float64) { mu.Lock(); age = x; mu.Unlock() }
+	_, s, addr := startWith(t, nil, func(o *Options) {
+		o.Age = func(float64, bool) (float64, float64) {
+			mu.Lock()
+			defer mu.Unlock()
+			looks++
+			return age, 1000
+		}
+	})
+	k := connect(t, addr, true)
+	in := string(resp.AppendCommand(nil, "JOB.STATUS", "1"))
+	set(4)
+	mu.Lock()
+	before := looks // nothing else is read now
+	mu.Unlock()
+	k.send(in[:10])
+	wait(t, func() bool { mu.Lock(); defer mu.Unlock(); return looks > before })
+	set(0)
+	k.expect(in[10:]+in[:10], "+did \r\n")
+	k.expect(in[10:], "+did \r\n")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls[0].AgeS != 4 || s.calls[1].AgeS != 0 {
+		t.Errorf("ages %v and %v, want 4 and 0", s.calls[0].AgeS, s.calls[1].AgeS)
+	}
+}
+
+// FuzzCutting: whatever bytes come, the answers do not depend on where they are cut.
+func FuzzCutting(f *testing.F) {
+	login := string(resp.AppendCommand(nil, "AUTH", "acme", "acme-secret"))
+	for _, s := range []string{"PING\r\nECHO 'a b'\r\n", "*2\r\n$4\r\nECHO\r\n$5\r\nhello\r\nPING\r\n", "*1\r\n$4\r\nPI", "*2\r\n$4\r\nECHO\r\n$99999\r\n",
+		"\r\n\r\n*0\r\nPING\n", "*1\r\n$4\r\nPINGxxPING\r\n", "JOB.STATUS map\r\nCL.THROTTLE u 1 1 1\r\nSIGN.SUBMIT k v\r\n"} {
+		f.Add([]byte(login+s), []byte{1, 7, 30})
+		f.Add([]byte(s), []byte{3})
+	}
+	_, _, addr := start(f, nil)
+	f.Fuzz(func(t *testing.T, in, cuts []byte) {
+		if len(in) > 10_000 || len(cuts) > 50 || bytes.Contains(bytes.ToUpper(in), []byte("ID")) || bytes.Contains(bytes.ToUpper(in), []byte("HELLO")) {
+			return // connections are numbered, and each has its own
+		}
+		in = append(in[:len(in):len(in)], "\r\nQUIT\r\n*1\r\n$4\r\nQUIT\r\n"...) // ends whatever is left open
+		send := func(pieces ...[]byte) string {
+			c, err := dialRaw(addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			for _, p := range pieces {
+				if _, err := c.Write(p); err != nil {
+					break // the server has ended it, and its answer stands
+				}
+				time.Sleep(100 * time.Microsecond)
+			}
+			_ = c.(*net.TCPConn).CloseWrite()
+			b, _ := io.ReadAll(c)
+			return string(b)
+		}
+		var pieces [][]byte
+		rest := in
+		for _, n := range cuts {
+			n := min(int(n), len(rest))
+			pieces, rest = append(pieces, rest[:n]), rest[n:]
+		}
+		whole, cut := send(in), send(append(pieces, rest)...)
+		if !strings.HasPrefix(whole, cut) && !strings.HasPrefix(cut, whole) { // a broken end may come before the last answer
+			t.Fatalf("%q in pieces of %v:\n got %q\nwant %q", in, cuts, cut, whole)
+		}
+	})
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -158,7 +158,7 @@
 // Submit hands calls in. When their connections were last read is not known here, so that after a stall all
 // are taken to have been sent when it began.
 func (c rpcCore) Submit(calls []*core.Call) int {
-	age, _ := c.stalls.Age(0)
+	age, _ := c.stalls.Age(0, false)
 	for _, k := range calls {
 		k.AgeS = age
 	}
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -18,8 +18,16 @@
 )
 
 func TestMain(m *testing.M) {
+	if part := os.Getenv("COMETPOND_PART"); part != "" {
+		if err := partOf(part, os.Getenv("COMETPOND_ARG")); err != nil {
+			os.Stderr.WriteString(err.Error() + "\n")
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
 	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).purgeStaleWorkers"),
-		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"))
+		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*poolCommon).ticktock"),
+		goleak.IgnoreAnyFunction("github.com/panjf2000/ants/v2.(*goWorker).run.func1"))
 }
 
 // site is boxes in rooms of their own and the settings that name them.
--- a/internal/instance/measure_test.go
+++ b/internal/instance/measure_test.go
@@ -29,6 +29,14 @@
 // wide is a settings file of one instance with n clients on a plan that refuses nobody.
 func wide(tb testing.TB, n int, boxes []string) *config.Config {
 	tb.Helper()
+	c, err := config.Parse("wide", settingsOf(n, boxes))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return c
+}
+
+func settingsOf(n int, boxes []string) string {
 	var b strings.Builder
 	fmt.Fprint(&b, `(ingress (me 0) (zone a) (listen "127.0.0.1:0"))
 (front (connections 20000) (pipeline 4096) (output 67108864))
@@ -45,11 +53,7 @@
 		fmt.Fprintf(&b, "\n (client c%d (plan wide) (secret-sha256 \"%x\"))", i, sum)
 	}
 	fmt.Fprint(&b, ")")
-	c, err := config.Parse("wide", b.String())
-	if err != nil {
-		tb.Fatal(err)
-	}
-	return c
+	return b.String()
 }
 
 func run(tb testing.TB, cfg *config.Config) (*Instance, string) {
@@ -144,7 +148,7 @@
 			buf := make([]byte, 64<<10)
 			ahead := 0
 			for time.Now().Before(stop) {
-				for ahead < 2*depth {
+				for ahead <= depth && ahead < 2*depth { // all together under what the core's queue holds
 					if _, err := c.Write(batch); err != nil {
 						return
 					}
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -21,10 +21,13 @@
 	looked   bool
 }
 
+// Stood tells, without noting the time, whether Look would find that the instance stood still.
+func (w *Watch) Stood(now float64) bool { return w.looked && now-w.last > Least }
+
 // Look notes the time, seconds that only go forward; true if the instance stood still since the last look.
 // It is to be called far more often than each Least.
 func (w *Watch) Look(now float64) bool {
-	stood := w.looked && now-w.last > Least
+	stood := w.Stood(now)
 	if stood {
 		if w.to == 0 || w.last-w.to > wakeS { // a second one, before the first is over, makes it longer
 			w.from = w.last
@@ -36,9 +39,10 @@
 }
 
 // Age is how long ago, at most, what a connection brings now may have been sent beyond the usual; readAt is
-// when the connection was last read, 0 if never or not known.
-func (w *Watch) Age(readAt, now float64) float64 {
-	if w.to == 0 || readAt >= w.to || now-w.to > wakeS {
+// when the connection was last read, 0 if never or not known; parked tells that it was not read since on purpose,
+// so that what lay in its socket during the stall comes only now.
+func (w *Watch) Age(readAt, now float64, parked bool) float64 {
+	if w.to == 0 || readAt >= w.to || now-w.to > wakeS && !parked {
 		return 0
 	}
 	return now - max(w.from, readAt)
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -4,7 +4,7 @@
 
 func TestWatch(t *testing.T) {
 	var w Watch
-	if w.Look(1000) || w.Look(1000.2) || w.Age(999, 1000.2) != 0 {
+	if w.Look(1000) || w.Look(1000.2) || w.Age(999, 1000.2, false) != 0 {
 		t.Fatal("stood still from the start")
 	}
 	if !w.Look(1004.2) {
@@ -15,16 +15,19 @@
 		{999, 1004.25, 4.05},    // was idle
 		{1003, 1004.25, 1.25},   // read while others stood still
 		{1004.22, 1004.25, 0},   // read since
-		{999, 1004.6, 0},        // long after: nothing can have lain in its socket
+		{999, 1004.8, 0},        // long after: nothing can have lain in its socket
 	} {
-		if got := w.Age(c.readAt, c.now); got < c.want-1e-9 || got > c.want+1e-9 {
+		if got := w.Age(c.readAt, c.now, false); got < c.want-1e-9 || got > c.want+1e-9 {
 			t.Errorf("read at %v, now %v: %v, want %v", c.readAt, c.now, got, c.want)
 		}
 	}
-	if !w.Look(1004.6) || w.Age(1000, 1004.61) < 4.3 {
+	if got := w.Age(1000.1, 1009, true); got < 8.7 {
+		t.Errorf("parked through the stall: %v", got)
+	}
+	if !w.Look(1004.6) || w.Age(1000, 1004.61, false) < 4.3 {
 		t.Error("a second stall before the first was over forgets the first")
 	}
-	if w.Look(1004.7) || w.Look(1004.9) || w.Look(1005.1) || !w.Look(1010) || w.Age(0, 1010) > 5 {
+	if w.Look(1004.7) || w.Look(1004.9) || w.Look(1005.1) || w.Look(1005.3) || !w.Look(1010) || w.Age(0, 1010, false) > 5 {
 		t.Error("a later stall begins where it begins")
 	}
 }
