The tail hop by hop: an execution trace of the gateway, and what it shows

Need: where the added latency goes was not known. BenchmarkTail writes a trace of the gateway's process on request.

--- a/internal/instance/tail_test.go
+++ b/internal/instance/tail_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"runtime/trace"
 	"strings"
 	"syscall"
 	"testing"
@@ -54,6 +55,17 @@
 		}
 		addr = a.String()
 	}
+	if file := os.Getenv("COMETPOND_TRACE"); file != "" && part == "gateway" { // for go tool trace: hop by hop
+		f, err := os.Create(file)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := trace.Start(f); err != nil {
+			return err
+		}
+		defer trace.Stop()
+	}
 	fmt.Println(addr)
 	_, _ = os.Stdin.Read(make([]byte, 1))
 	return nil
