--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -381,14 +381,10 @@
 			break
 		}
 	}
-	switch rest := buf[used:]; {
-	case len(rest) == 0 || act == gnet.Close:
-		l.in = nil
-	case len(l.in) > 0 && used > 0:
-		l.in = l.in[:copy(l.in, rest)]
-	case len(l.in) == 0:
-		l.in = append(make([]byte, 0, max(len(rest), l.need)), rest...)
+	if act == gnet.Close {
+		used = len(buf)
 	}
+	l.in = resp.Rest(l.in, buf, used, l.need)
 	if len(results) > 0 {
 		p.core.Done(results...)
 	}
--- a/internal/day/fleet.go
+++ b/internal/day/fleet.go
@@ -405,19 +405,37 @@
 	return false
 }
 
-// stall has an instance stand still for a while.
-func (f *fleet) stall(ctx context.Context, i int, d time.Duration) {
+// during keeps something up for a while and notes the stalls that it means.
+func (f *fleet) during(ctx context.Context, d time.Duration, stalls []audit.Stall, change func(on bool)) {
 	f.mu.Lock()
-	p := f.procs[i]
-	n := len(f.stalls)
-	f.stalls = append(f.stalls, audit.Stall{Instance: i, From: time.Now(), To: time.Now().Add(time.Hour)})
+	from := len(f.stalls)
+	for _, s := range stalls {
+		s.From, s.To = time.Now(), time.Now().Add(time.Hour)
+		f.stalls = append(f.stalls, s)
+	}
 	f.mu.Unlock()
-	_ = p.cmd.Process.Signal(syscall.SIGSTOP) // it may have ended
+	change(true)
 	pause(ctx, d)
-	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	change(false)
 	f.mu.Lock()
-	f.stalls[n].To = time.Now()
+	for i := range stalls {
+		f.stalls[from+i].To = time.Now()
+	}
+	f.mu.Unlock()
+}
+
+// stall has an instance stand still for a while.
+func (f *fleet) stall(ctx context.Context, i int, d time.Duration) {
+	f.mu.Lock()
+	p := f.procs[i]
 	f.mu.Unlock()
+	f.during(ctx, d, []audit.Stall{{Instance: i}}, func(on bool) {
+		signal := syscall.SIGCONT
+		if on {
+			signal = syscall.SIGSTOP
+		}
+		_ = p.cmd.Process.Signal(signal) // it may have ended
+	})
 }
 
 // wires has the wires in front of instances or boxes carry less, or nothing, for a while. To clients an instance
@@ -427,31 +445,17 @@
 	var stalls []audit.Stall
 	for _, i := range instances {
 		list = append(list, f.fronts[i])
-		stalls = append(stalls, audit.Stall{Instance: i})
+		stalls = append(stalls, audit.Stall{Instance: i, Wire: true})
 	}
 	for _, i := range boxes {
 		list = append(list, f.backs[i])
-		stalls = append(stalls, audit.Stall{Box: f.backs[i].Addr()})
+		stalls = append(stalls, audit.Stall{Box: f.backs[i].Addr(), Wire: true})
 	}
-	f.mu.Lock()
-	from := len(f.stalls)
-	for _, s := range stalls {
-		s.From, s.To, s.Wire = time.Now(), time.Now().Add(time.Hour), true
-		f.stalls = append(f.stalls, s)
-	}
-	f.mu.Unlock()
-	for _, r := range list {
-		change(r, true)
-	}
-	pause(ctx, d)
-	for _, r := range list {
-		change(r, false)
-	}
-	f.mu.Lock()
-	for i := range stalls {
-		f.stalls[from+i].To = time.Now()
-	}
-	f.mu.Unlock()
+	f.during(ctx, d, stalls, func(on bool) {
+		for _, r := range list {
+			change(r, on)
+		}
+	})
 }
 
 // standing tells whether an instance stands still, or did a moment ago.
--- a/internal/day/play.go
+++ b/internal/day/play.go
@@ -248,7 +248,7 @@
 			}
 		})
 	case "slow":
-		every := p.some(len(f.boxes), 0)
+		every := all(len(f.boxes))
 		return while(func() { p.each(every, func(b *standin.Box) { b.Slow(e.Size) }) }, func() { p.each(every, func(b *standin.Box) { b.Slow(1) }) })
 	case "age":
 		list := p.some(n, salt)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -163,14 +163,10 @@
 	if k.need > 0 && k.partial.IsZero() {
 		k.partial = time.Now()
 	}
-	switch rest := src[used:]; {
-	case len(rest) == 0 || k.quit || broken != nil:
-		k.in = nil // an idle connection holds nothing
-	case len(k.in) > 0 && used > 0:
-		k.in = k.in[:copy(k.in, rest)]
-	case len(k.in) == 0:
-		k.in = append(make([]byte, 0, max(len(rest), min(k.need, chunkMost))), rest...)
+	if k.quit || broken != nil {
+		used = len(src) // nothing is read after the last command
 	}
+	k.in = resp.Rest(k.in, src, used, min(k.need, chunkMost))
 	k.submit()
 	if broken != nil {
 		s.cut.Add(1)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -355,7 +355,6 @@
 	l.awake(true)
 	act := k.arrived(data)
 	for act == gnet.None && !l.awake(false) { // answers that came meanwhile, as a rule to what has just been read
-		l.awake(true)
 		_ = l.Run(context.Background())
 	}
 	if act != gnet.None && !l.awake(false) { // the connection ends: the answers are others', and their turn is next
--- a/internal/resp/parse.go
+++ b/internal/resp/parse.go
@@ -261,6 +261,22 @@
 	}
 }
 
+// Rest returns what is to be held until more comes in, after used bytes of src were taken. Held is what was held
+// before; src is held itself where that is not empty, and else memory that does not last. Room is the least
+// capacity to begin with, bytes. Nothing left is nil, so that an idle connection holds no memory.
+func Rest(held, src []byte, used, room int) []byte {
+	rest := src[used:]
+	switch {
+	case len(rest) == 0:
+		return nil
+	case len(held) > 0 && used > 0:
+		return held[:copy(held, rest)]
+	case len(held) > 0:
+		return held
+	}
+	return append(make([]byte, 0, max(len(rest), room)), rest...)
+}
+
 // SplitAttribute parts a whole reply into its leading attribute, nil if there is none, and the rest.
 func SplitAttribute(reply []byte, lim Limits) (attr, rest []byte) {
 	if len(reply) == 0 || reply[0] != '|' {
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -312,15 +312,6 @@
 	b.model.Slow(factor)
 }
 
-// Reset breaks all connections.
-func (b *Box) Reset() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for c := range b.conns {
-		reset(c)
-	}
-}
-
 // Down takes the box from the network: connections break and none is taken.
 func (b *Box) Down() {
 	b.mu.Lock()
