--- a/cmd/cometpond/day.go
+++ b/cmd/cometpond/day.go
@@ -93,7 +93,7 @@
 	}
 	c.Flags().Float64Var(&rate, "rate", 0, "requests a second in place of the script's")
 	c.Flags().DurationVar(&span, "for", 0, "length of the day in place of the script's; its troubles move along")
-	c.Flags().StringVar(&sabotage, "sabotage", "", "have the instances break one rule: drain, repeat, lost, ceiling or cold")
+	c.Flags().StringVar(&sabotage, "sabotage", "", "have the instances break one rule: drain, repeat, lost, ceiling or cold; or lose input")
 	c.Flags().StringVar(&bench, "from-bench", "", "play the troubles of a day drawn with lbsim draw")
 	c.Flags().StringVar(&front, "front", "resp", "what clients speak: resp, grpc or both")
 	c.Flags().BoolVar(&verbose, "verbose", false, "show what the instances print")
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -43,15 +43,41 @@
 	if v := Judge(clean()); !v.Kept() || v.Requests != 4 {
 		t.Fatalf("a clean record: %+v", v.Broken)
 	}
+	for name, change := range map[string]func(*Record){
+		"answered when it went on": func(r *Record) { r.Stalls, r.Tries[0].EndAt = []Stall{{0, at(1.05), at(6), false}}, at(6.1) },
+		"two stalls": func(r *Record) {
+			r.Stalls, r.Tries[0].EndAt = []Stall{{0, at(6.05), at(9), false}, {0, at(1.05), at(6), false}}, at(9.1)
+		},
+		"held on the wire": func(r *Record) {
+			r.Stalls, r.Tries[0].EndAt = []Stall{{0, at(1.01), at(4), true}}, at(4.5)
+			r.Arrivals[0].At, r.Arrivals[1].At = at(4.1), at(4.2)
+			r.Pushes, r.Notices = r.Pushes[:1], r.Notices[:1]
+		},
+	} {
+		r := clean()
+		change(r)
+		if v := Judge(r); !v.Kept() {
+			t.Errorf("%s: %v", name, v.Broken)
+		}
+	}
 	for name, c := range map[string]struct {
 		rule   Rule
 		change func(*Record)
 	}{
-		"no answer":            {Lost, func(r *Record) { r.Tries[0].End = Unanswered }},
-		"late answer":          {Lost, func(r *Record) { r.Tries[0].EndAt = at(3.5) }},
-		"two answers":          {Lost, func(r *Record) { r.Tries[0].Extra = 1 }},
-		"connection closed":    {Lost, func(r *Record) { r.Tries[3].Excused = false }},
-		"sent after answer":    {Lost, func(r *Record) { r.Arrivals[1].At = at(1.5) }},
+		"no answer":          {Lost, func(r *Record) { r.Tries[0].End = Unanswered }},
+		"late answer":        {Lost, func(r *Record) { r.Tries[0].EndAt = at(3.5) }},
+		"two answers":        {Lost, func(r *Record) { r.Tries[0].Extra = 1 }},
+		"connection closed":  {Lost, func(r *Record) { r.Tries[3].Excused = false }},
+		"sent after answer":  {Lost, func(r *Record) { r.Arrivals[1].At = at(1.5) }},
+		"another's answer":   {Lost, func(r *Record) { r.Tries[0].Wrong = true }},
+		"sent past its time": {Lost, func(r *Record) { r.Tries[0].End, r.Tries[0].Excused, r.Arrivals[1].At = Broken, true, at(3.3) }},
+		"late after a stall": {Lost, func(r *Record) {
+			r.Stalls, r.Tries[0].EndAt = []Stall{{0, at(1.05), at(6), false}}, at(6.3)
+		}},
+		"sent late in a stall": {Lost, func(r *Record) { // what the instance held is past its deadline whatever stood still
+			r.Stalls, r.Tries[0].EndAt = []Stall{{0, at(1.05), at(6), false}}, at(6.1)
+			r.Arrivals[1].At = at(6.05)
+		}},
 		"work of no client":    {Lost, func(r *Record) { r.Arrivals[1].Try = "zz" }},
 		"unsafe ran twice":     {Repeat, func(r *Record) { r.Arrivals = append(r.Arrivals, r.Arrivals[3]) }},
 		"key ran twice":        {Repeat, func(r *Record) { r.Arrivals = append(r.Arrivals, r.Arrivals[2]) }},
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -58,6 +58,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	work   sync.WaitGroup // dials and probe timers
+	start  time.Time
 
 	mu    sync.Mutex
 	boxes map[string]*box
@@ -84,10 +85,18 @@
 	probe  bool
 	in     []byte      // the head of an unfinished answer
 	need   int         // length of in before which another look is of no use
+	out    []outgoing  // under the box's lock
+	closed bool        // the loop's own
 	greets int         // answers of this end's own that come first, of a probe's connection
 	state  *links.Link // nil for a probe's connection
 }
 
+// outgoing is an attempt on its way to the socket.
+type outgoing struct {
+	attempt core.Attempt
+	payload []byte
+}
+
 type probe struct {
 	at    time.Time
 	timer *time.Timer
@@ -96,7 +105,7 @@
 // New starts the event loops of a pool without boxes.
 func New(c Core, opt Options) (*Pool, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &Pool{opt: opt, core: c, lim: resp.DefaultLimits, boxes: map[string]*box{}, ctx: ctx, cancel: cancel}
+	p := &Pool{opt: opt, core: c, lim: resp.DefaultLimits, boxes: map[string]*box{}, ctx: ctx, cancel: cancel, start: time.Now()}
 	p.lim.Bulk, p.lim.Args = mostReply, 1<<16 // what a box answers is its own affair
 	cl, err := gnet.NewClient(p, gnet.WithNumEventLoop(max(1, opt.Loops)), gnet.WithTCPKeepAlive(15*time.Second),
 		gnet.WithLogger(netlog.Logger{Log: opt.Log}), gnet.WithLogLevel(logging.ErrorLevel))
@@ -127,6 +136,9 @@
 	return Counts{p.dials.Load(), p.dialsFailed.Load(), p.broken.Load(), p.late.Load(), p.open.Load()}
 }
 
+// now is seconds since the pool's start, monotonic.
+func (p *Pool) now() float64 { return time.Since(p.start).Seconds() }
+
 func (p *Pool) box(addr string) *box {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -175,8 +187,8 @@
 	}
 }
 
-// Send starts an attempt.
-func (p *Pool) Send(a core.Attempt, addr string, payload []byte) {
+// Send starts an attempt. It is not written any more once withinS seconds are over.
+func (p *Pool) Send(a core.Attempt, addr string, payload []byte, withinS float64) {
 	b := p.box(addr)
 	if b == nil {
 		p.core.Done(core.Result{Attempt: a, Status: policy.ConnectFailed})
@@ -184,7 +196,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.conns.Send(a, payload)
+	b.conns.Send(a, payload, p.now()+withinS)
 }
 
 // Cancel gives an attempt up.
@@ -201,10 +213,41 @@
 
 func (e *effects) Dial() { (*box)(e).dial(false) }
 
-// Write and Close go through the connection's event loop. An error means that it is closed; OnClose tells
-// what became of the attempts on it.
-func (e *effects) Write(l *links.Link, payload []byte) { _ = l.Conn.(*link).c.AsyncWrite(payload, nil) }
-func (e *effects) Close(l *links.Link)                 { _ = l.Conn.(*link).c.Close() }
+// Write and Close go through the connection's event loop. An error means that the loops end; OnClose tells what
+// became of the attempts on a connection.
+func (e *effects) Write(l *links.Link, a core.Attempt, payload []byte) {
+	k := l.Conn.(*link)
+	if k.out = append(k.out, outgoing{a, payload}); len(k.out) == 1 {
+		_ = k.c.EventLoop().Execute(context.Background(), k)
+	}
+}
+func (e *effects) Close(l *links.Link) { _ = l.Conn.(*link).c.Close() }
+
+// Run writes what is to go out on a connection, in its event loop and in one piece. It is here, with the bytes
+// about to leave, that each attempt is looked at for the last time: the process may have stood still.
+func (l *link) Run(context.Context) error {
+	b := l.box
+	b.mu.Lock()
+	list := l.out
+	l.out = nil
+	var buf []byte
+	now := b.pool.now()
+	for _, o := range list {
+		switch {
+		case l.state == nil || !b.conns.Writing(l.state, o.attempt, now):
+		case buf == nil && len(list) == 1:
+			buf = o.payload
+		default:
+			buf = append(buf, o.payload...)
+		}
+	}
+	c := l.c
+	b.mu.Unlock()
+	if len(buf) > 0 && !l.closed {
+		_, _ = c.Write(buf) // after an error OnClose has told what became of the attempts
+	}
+	return nil
+}
 
 func (e *effects) End(a core.Attempt, status policy.Status) {
 	if status == policy.Reset {
@@ -352,6 +395,7 @@
 		return gnet.None
 	}
 	p.open.Add(-1)
+	l.closed = true
 	b := l.box
 	b.mu.Lock()
 	if l.state != nil {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -10,13 +10,15 @@
 	"sync"
 	"time"
 
+	"cometpond/internal/stall"
 	"cometpond/policy"
 )
 
 // Backend carries attempts to boxes. Its methods are called by the core's goroutine and must not block.
-// Each Send ends in one Loop.Done, unless it was cancelled; each Probe in one Loop.Probed.
+// Each Send ends in one Loop.Done, unless it was cancelled; each Probe in one Loop.Probed. What could not be
+// written within withinS seconds is not written any more, and ends as policy.ConnectFailed.
 type Backend interface {
-	Send(a Attempt, box string, payload []byte)
+	Send(a Attempt, box string, payload []byte, withinS float64)
 	Cancel(a Attempt, box string)
 	Probe(box string)
 	// Servers tells which boxes there are; connections to others are closed once they are idle.
@@ -54,6 +56,8 @@
 
 	fronts []frontBatch
 	spare  inbox
+	watch  stall.Watch
+	settle func() // waits until what lies in the sockets has come in
 }
 
 type inbox struct {
@@ -106,6 +110,7 @@
 // NewLoop returns a loop that Run drives. Backend and peers may be set later, before Run, with Attach.
 func NewLoop(s policy.Settings, seed uint64, clock Clock) (*Loop, error) {
 	l := &Loop{clock: clock, wake: make(chan struct{}, 1)}
+	l.settle = func() { time.Sleep(time.Duration(stall.SettleS * 1e9)) }
 	m, err := NewMachine(s, seed, clock.Now(), (*effects)(l))
 	if err != nil {
 		return nil, err
@@ -263,6 +268,9 @@
 // batch takes in all that has come and carries out what is due; false if there was nothing.
 func (l *Loop) batch(in *inbox) bool {
 	m, now := l.machine, l.clock.Now()
+	if l.watch.Look(now) {
+		now = l.recover(in)
+	}
 	some := len(in.calls)+len(in.gone)+len(in.back)+len(in.results)+len(in.probes)+len(in.heard)+len(in.lists) > 0 ||
 		in.drain || m.Next() <= now
 	if !some {
@@ -307,6 +315,28 @@
 	return true
 }
 
+// recover is what comes first after this process stood still: all that lay in the sockets comes in, lists of
+// boxes are in force before anything is decided, and what other instances told is dropped.
+func (l *Loop) recover(in *inbox) (now float64) {
+	l.settle()
+	l.mu.Lock()
+	in.calls = append(in.calls, l.in.calls...)
+	in.gone = append(in.gone, l.in.gone...)
+	in.back = append(in.back, l.in.back...)
+	in.results = append(in.results, l.in.results...)
+	in.probes = append(in.probes, l.in.probes...)
+	in.lists = append(in.lists, l.in.lists...)
+	in.drain = in.drain || l.in.drain
+	l.dropped += uint64(len(in.heard) + len(l.in.heard))
+	l.in.reset()
+	l.mu.Unlock()
+	clear(in.heard)
+	in.heard = in.heard[:0]
+	now = l.clock.Now()
+	l.watch.Look(now)
+	return now
+}
+
 // reset empties an inbox and keeps its room, but nothing that it pointed to.
 func (in *inbox) reset() {
 	clear(in.calls)
@@ -334,9 +364,11 @@
 // effects is the Loop as its Machine sees it.
 type effects Loop
 
-func (l *effects) Send(a Attempt, box string, payload []byte) { l.backend.Send(a, box, payload) }
-func (l *effects) Cancel(a Attempt, box string)               { l.backend.Cancel(a, box) }
-func (l *effects) Probe(box string)                           { l.backend.Probe(box) }
+func (l *effects) Send(a Attempt, box string, payload []byte, withinS float64) {
+	l.backend.Send(a, box, payload, withinS)
+}
+func (l *effects) Cancel(a Attempt, box string) { l.backend.Cancel(a, box) }
+func (l *effects) Probe(box string)             { l.backend.Probe(box) }
 
 func (l *effects) Tell(instance int, data []byte) {
 	if l.peers != nil {
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -33,6 +33,7 @@
 	Key     string  // submission key, with a keyed class
 	Payload []byte  // what the box gets
 	WithinS float64 // until the client gives up, seconds; 0 or more than the class has: the class's deadline
+	AgeS    float64 // how long ago, at most, it was sent: after a stall; its time counts from then
 	Front   Front   // gets the answer
 	Tag     any     // for the front's use
 
@@ -52,6 +53,7 @@
 	NoRoom   Reason = iota // the module's ruling: over quota, or no box has room in time
 	Overfull               // too much under way here
 	Stopping               // this instance shuts down
+	TooLate                // its time was over before this instance could look at it
 )
 
 // Quota is what a plan and its count say at an answer, in units and seconds.
@@ -85,8 +87,8 @@
 
 // Effects is what a Machine wants done. Calls come while one of its event methods runs.
 type Effects interface {
-	Send(a Attempt, box string, payload []byte)
-	Cancel(a Attempt, box string) // its answer will be ignored
+	Send(a Attempt, box string, payload []byte, withinS float64) // written within this time or not at all
+	Cancel(a Attempt, box string)                                // its answer will be ignored
 	Probe(box string)
 	Tell(instance int, data []byte)
 	Answered(c *Call)
@@ -105,6 +107,7 @@
 	Taken, Served, Refused, Failed, Admitted, Gone uint64
 	Joined, Repeated                               uint64 // submissions of a key that was known
 	Overfull                                       uint64 // refused because a queue or the table was full
+	TooLate                                        uint64 // refused because a stall took all their time
 	Overdue                                        uint64 // answered by the last resort, past the deadline
 	Late                                           uint64 // results of attempts that had ended
 	Attempts, Timeouts, Probes, Told, Heard        uint64
@@ -209,10 +212,19 @@
 		return
 	}
 	class := &m.settings.Classes[c.Class]
+	within := class.DeadlineS
+	if c.WithinS > 0 {
+		within = min(within, c.WithinS)
+	}
+	within -= max(c.AgeS, 0)
 	switch {
 	case m.draining:
 		m.refuse(c, 0, Stopping, whyStopping)
 		return
+	case within <= 0:
+		m.counts.TooLate++
+		m.refuse(c, 0, TooLate, "this instance stood still until the request's time was over")
+		return
 	case m.held >= maxHeld:
 		m.counts.Overfull++
 		m.refuse(c, m.settings.MaxRetryAfterS, Overfull, "too many requests under way")
@@ -221,10 +233,6 @@
 		m.answer(c, Answer{Kind: Admitted})
 		return
 	}
-	within := class.DeadlineS
-	if c.WithinS > 0 {
-		within = min(within, c.WithinS)
-	}
 	q := policy.Request{Class: class.Name, Plan: c.Plan, Customer: c.Client, DeadlineS: m.now + within,
 		Entries: m.settings.Gateways, Units: c.Units, Limit: c.Limit}
 	var entry *keys.Entry
@@ -618,7 +626,7 @@
 		m.keys.Sent(m.now, s.entry, server)
 	}
 	m.at(min(m.now+timeoutS, s.deadline), timer{kind: timeout, slot: i, gen: s.gen, n: n})
-	m.fx.Send(Attempt{i, s.gen, n}, server, s.payload)
+	m.fx.Send(Attempt{i, s.gen, n}, server, s.payload, min(timeoutS, s.deadline-m.now))
 }
 
 // Refuse is the final answer that trying again is harmless.
--- /dev/null
+++ b/internal/core/stalls.go
@@ -0,0 +1,58 @@
+package core
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cometpond/internal/stall"
+)
+
+// Stalls tells fronts how old what they read may be after this process stood still. Its methods may be called
+// from any goroutine.
+type Stalls struct {
+	clock Clock
+	mu    sync.Mutex
+	watch stall.Watch
+	seen  uint64
+}
+
+// NewStalls returns a watch on a clock, which Run keeps.
+func NewStalls(clock Clock) *Stalls {
+	s := &Stalls{clock: clock}
+	s.watch.Look(clock.Now())
+	return s
+}
+
+// Run looks at the clock until ctx is over.
+func (s *Stalls) Run(ctx context.Context) {
+	tick := time.NewTicker(time.Duration(stall.Least / 5 * 1e9))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			_, _ = s.Age(0)
+		}
+	}
+}
+
+// Age is how long ago, at most, what is read now from a connection may have been sent, in seconds, and the time
+// of this reading. ReadAt is the time of the connection's last one, 0 if it is not known.
+func (s *Stalls) Age(readAt float64) (ageS, now float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now = s.clock.Now()
+	if s.watch.Look(now) {
+		s.seen++
+	}
+	return s.watch.Age(readAt, now), now
+}
+
+// Seen is the number of stalls so far.
+func (s *Stalls) Seen() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -109,6 +109,34 @@
 	}
 }
 
+// A front that loses input, as it once did, is found on a day whose streams come in pieces; on a day without
+// them it is not, which is why the built-in day has them all through.
+func TestLostInputIsFound(t *testing.T) {
+	t.Parallel()
+	v := playText(t, `(day (for 3s) (rate 60) (boxes 6) (at 10ms (pieces 4096) (for 3s)))`, "input", "resp")
+	if len(v.Broken[audit.Lost]) == 0 {
+		t.Error("no request was lost by a front that throws heads of commands away")
+	}
+}
+
+// Streams in pieces and held, connections severed and instances that stand still, alone and all at once, with
+// drains told meanwhile: all rules are kept.
+func TestDayOfWireAndStalls(t *testing.T) {
+	t.Parallel()
+	v := playText(t, `(day (for 12s) (rate 80) (boxes 6) (at 10ms (pieces 65536) (for 12s))
+		(at 1s (stall 0) (for 300ms)) (at 1.5s (sever 1)) (at 2s (stall 1) (for 3s)) (at 2.2s (drain 1) (for 8s))
+		(at 3s (hold 2) (for 1s)) (at 6s (stall 0) (for 1s)) (at 6s (stall 1) (for 1s)) (at 6s (stall 2) (for 1s))
+		(at 8s (hold-boxes 2) (for 1s)) (at 9.5s (trickle 400000) (for 1s)) (at 11s (reset 2)))`, "", "resp")
+	for r, list := range v.Broken {
+		if len(list) > 0 {
+			t.Errorf("rule %q: %s", audit.Rule(r), strings.Join(list[:min(5, len(list))], "; "))
+		}
+	}
+	if v.Requests < 500 {
+		t.Errorf("%d requests: too few to prove anything", v.Requests)
+	}
+}
+
 func TestScripts(t *testing.T) {
 	if s := Builtin(); s.For > 45*time.Second || len(s.Events) < 10 {
 		t.Errorf("the built-in day: %v, %d troubles", s.For, len(s.Events))
--- a/internal/day/sabotage.go
+++ b/internal/day/sabotage.go
@@ -1,6 +1,7 @@
 package day
 
 import (
+	"errors"
 	"fmt"
 	"sort"
 	"strings"
@@ -8,14 +9,18 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
+
 	"cometpond/internal/core"
 	"cometpond/internal/discovery"
 	"cometpond/internal/front"
 	"cometpond/internal/instance"
+	"cometpond/internal/resp"
 	"cometpond/policy"
 )
 
-// Sabotage returns hooks with which an instance breaks one rule: drain, repeat, lost, ceiling or cold. The
+// Sabotage returns hooks with which an instance breaks one rule: drain, repeat, lost, ceiling or cold; or with
+// which it loses input, "input", which breaks the rule that no request is lost. The
 // product knows nothing of them; they stand between its parts, so that the auditor can be tried.
 func Sabotage(rule string) (instance.Hooks, error) {
 	make, ok := saboteurs[rule]
@@ -44,6 +49,16 @@
 	"lost": func() instance.Hooks {
 		return instance.Hooks{Calls: func(c front.Core) front.Core { return &loser{Core: c} }}
 	},
+	// The head of a command that comes in more than one piece is thrown away, as the front once did.
+	"input": func() instance.Hooks {
+		return instance.Hooks{Read: func(c gnet.Conn) ([]byte, error) {
+			data, err := c.Next(-1)
+			if _, _, _, e := resp.Command(data, nil, resp.DefaultLimits); errors.Is(e, resp.ErrIncomplete) {
+				return nil, err
+			}
+			return data, err
+		}}
+	},
 	// Quotas and ceilings are not looked at.
 	"ceiling": func() instance.Hooks {
 		return instance.Hooks{Settings: func(s *policy.Settings) {
@@ -101,8 +116,8 @@
 	rooms *rooms
 }
 
-func (d *doubler) Send(a core.Attempt, box string, payload []byte) {
-	d.Backend.Send(a, box, payload)
+func (d *doubler) Send(a core.Attempt, box string, payload []byte, withinS float64) {
+	d.Backend.Send(a, box, payload, withinS)
 	d.rooms.mu.Lock()
 	defer d.rooms.mu.Unlock()
 	zone := ""
@@ -114,7 +129,7 @@
 	for _, s := range d.rooms.list {
 		if s.Zone != zone && s.State == policy.Up && s.SinceS == 0 { // a cold one might fall over: another rule
 			a.N += 100 // no attempt that the core knows: its answer is late
-			d.Backend.Send(a, s.ID, payload)
+			d.Backend.Send(a, s.ID, payload, withinS)
 			return
 		}
 	}
@@ -142,7 +157,7 @@
 	rooms *rooms
 }
 
-func (c *crowd) Send(a core.Attempt, box string, payload []byte) {
+func (c *crowd) Send(a core.Attempt, box string, payload []byte, withinS float64) {
 	c.rooms.mu.Lock()
 	newest, since := "", float64(time.Now().UnixNano())/1e9-8
 	for _, s := range c.rooms.list {
@@ -154,5 +169,5 @@
 	if newest != "" {
 		box = newest
 	}
-	c.Backend.Send(a, box, payload)
+	c.Backend.Send(a, box, payload, withinS)
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -39,6 +39,8 @@
 	in      []byte    // what has come in and is not used yet: the head of a command, or commands to be read later
 	need    int       // length of in before which another look is of no use
 	partial time.Time // since when a command stands unfinished
+	readAt  float64   // when something last came in
+	ageS    float64   // how long before that it may have been sent
 	args    [][]byte
 	queue   []*pending // commands whose answers have not been written, from head on
 	head    int
@@ -461,7 +463,7 @@
 // ask starts a call and keeps its place among the answers.
 func (k *conn) ask(c core.Call) {
 	p := &pending{call: c, conn: k}
-	p.call.Front, p.call.Tag = k.loop, p
+	p.call.Front, p.call.Tag, p.call.AgeS = k.loop, p, k.ageS
 	k.queue = append(k.queue, p)
 	k.loop.calls = append(k.loop.calls, &p.call)
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -37,7 +37,12 @@
 	Bounds config.Front
 	Book   *access.Book
 	Info   func() string // the text of INFO
-	Log    zerolog.Logger
+	// Age tells how long ago, at most, what is read now from a connection may have been sent, and the time of
+	// this reading; readAt is the time of its last one. Nil: nothing is old.
+	Age func(readAt float64) (ageS, now float64)
+	// Read takes what has come in on a connection; nil: all of it. The rigs put the fault of losing some back.
+	Read func(c gnet.Conn) ([]byte, error)
+	Log  zerolog.Logger
 }
 
 // Counts are totals since the start.
@@ -80,6 +85,9 @@
 
 // Start listens and serves until Stop.
 func Start(c Core, opt Options) (*Server, error) {
+	if opt.Read == nil {
+		opt.Read = takeAll
+	}
 	s := &Server{opt: opt, core: c, booted: make(chan struct{}), ran: make(chan error, 1), stop: make(chan struct{}),
 		loops: map[gnet.EventLoop]*loop{}}
 	// gnet's listener ends for good when it is refused a descriptor, so connections end well before that.
@@ -336,15 +344,20 @@
 	if !ok {
 		return gnet.Close
 	}
-	// Next(-1) takes all that has come in, which lies in the loop's own buffer until this returns. Discard is
-	// not used: with 0 it throws away everything.
-	data, err := c.Next(-1)
+	data, err := s.opt.Read(c)
 	if err != nil {
 		return gnet.Close
 	}
+	if s.opt.Age != nil {
+		k.ageS, k.readAt = s.opt.Age(k.readAt)
+	}
 	return k.arrived(data)
 }
 
+// takeAll takes all that has come in, which lies in the loop's own buffer until OnTraffic returns. Discard is
+// not used: with 0 it throws away everything.
+func takeAll(c gnet.Conn) ([]byte, error) { return c.Next(-1) }
+
 // sweep looks once a second for connections that take up room and do nothing with it.
 func (s *Server) sweep() {
 	defer s.sweeper.Done()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
 	"github.com/rs/zerolog"
 
 	"cometpond/internal/access"
@@ -40,19 +41,21 @@
 	Backend  func(core.Backend) core.Backend
 	Lists    func(discovery.Sink) discovery.Sink
 	Calls    func(front.Core) front.Core
+	Read     func(gnet.Conn) ([]byte, error)
 }
 
 // Instance is a running gateway.
 type Instance struct {
-	cfg   *config.Config
-	log   zerolog.Logger
-	loop  *core.Loop
-	pool  *backend.Pool
-	peers *peer.Link
-	disc  *discovery.Client
-	front *front.Server
-	rpc   *rpc.Server
-	since time.Time
+	cfg    *config.Config
+	log    zerolog.Logger
+	loop   *core.Loop
+	stalls *core.Stalls
+	pool   *backend.Pool
+	peers  *peer.Link
+	disc   *discovery.Client
+	front  *front.Server
+	rpc    *rpc.Server
+	since  time.Time
 
 	stopParts context.CancelFunc // peers and discovery
 	stopLoop  context.CancelFunc
@@ -72,9 +75,11 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
-	if i.loop, err = core.NewLoop(s, seed, core.NewClock()); err != nil {
+	clock := core.NewClock()
+	if i.loop, err = core.NewLoop(s, seed, clock); err != nil {
 		return nil, err
 	}
+	i.stalls = core.NewStalls(clock)
 	loops := cfg.Loops
 	if loops == 0 {
 		loops = max(1, min(4, runtime.NumCPU()/2))
@@ -92,6 +97,7 @@
 			i.end()
 		}
 	}()
+	i.run(func() { i.stalls.Run(parts) })
 	var told core.Peers
 	if len(cfg.Instances) > 1 {
 		if i.peers, err = peer.Open(cfg, i.loop, opt.Log.With().Str("part", "peer").Logger()); err != nil {
@@ -129,13 +135,13 @@
 	}
 	book := access.New(cfg)
 	if cfg.GRPC != nil {
-		i.rpc, err = rpc.Start(rpcCore{calls, i.loop}, rpc.Options{GRPC: *cfg.GRPC, Book: book, Log: opt.Log.With().Str("part", "rpc").Logger()})
+		i.rpc, err = rpc.Start(rpcCore{calls, i.loop, i.stalls}, rpc.Options{GRPC: *cfg.GRPC, Book: book, Log: opt.Log.With().Str("part", "rpc").Logger()})
 		if err != nil {
 			return nil, err
 		}
 	}
 	i.front, err = front.Start(calls, front.Options{Listen: cfg.Listen, Loops: loops, Bounds: cfg.Front, Book: book,
-		Info: i.Info, Log: opt.Log.With().Str("part", "front").Logger()})
+		Info: i.Info, Age: i.stalls.Age, Read: opt.Hooks.Read, Log: opt.Log.With().Str("part", "front").Logger()})
 	if err != nil {
 		return nil, err
 	}
@@ -145,7 +151,18 @@
 // rpcCore is the core as the gRPC front sees it, through the same hook as the other front.
 type rpcCore struct {
 	front.Core
-	loop *core.Loop
+	loop   *core.Loop
+	stalls *core.Stalls
+}
+
+// Submit hands calls in. When their connections were last read is not known here, so that after a stall all
+// are taken to have been sent when it began.
+func (c rpcCore) Submit(calls []*core.Call) int {
+	age, _ := c.stalls.Age(0)
+	for _, k := range calls {
+		k.AgeS = age
+	}
+	return c.Core.Submit(calls)
 }
 
 func (c rpcCore) Return(calls []*core.Call) { c.loop.Return(calls) }
@@ -242,7 +259,7 @@
 	s := i.loop.Status()
 	section("Requests", "taken", s.Taken, "served", s.Served, "refused", s.Refused, "failed", s.Failed, "admitted", s.Admitted,
 		"client_gone", s.Gone, "joined", s.Joined, "repeated", s.Repeated, "overfull", s.Overfull, "overdue", s.Overdue,
-		"in_flight", s.Held, "waiting", s.Waiting, "attempts", s.Attempts, "attempt_timeouts", s.Timeouts,
+		"stalls", i.stalls.Seen(), "too_late", s.TooLate, "in_flight", s.Held, "waiting", s.Waiting, "attempts", s.Attempts, "attempt_timeouts", s.Timeouts,
 		"late_answers", s.Late, "probes", s.Probes)
 	if i.front != nil {
 		c := i.front.Counts()
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -7,14 +7,17 @@
 package links
 
 import (
+	"slices"
+
 	"cometpond/internal/core"
 	"cometpond/policy"
 )
 
 // Effects is what a Box wants done. Its methods are called while one of the Box's methods runs.
 type Effects interface {
-	Dial()                                    // open a connection: ends in Opened or DialFailed
-	Write(l *Link, payload []byte)            // in the order of the calls
+	Dial() // open a connection: ends in Opened or DialFailed
+	// Write has the payload written in the order of the calls. Right before, Writing tells whether it still may.
+	Write(l *Link, a core.Attempt, payload []byte)
 	Close(l *Link)                            // ends in Closed
 	End(a core.Attempt, status policy.Status) // the attempt has ended without an answer
 }
@@ -50,6 +53,7 @@
 type flight struct {
 	attempt core.Attempt
 	payload []byte
+	until   float64 // not to be written after this time
 	link    *Link
 	setup   bool
 	dead    bool
@@ -61,9 +65,10 @@
 }
 
 // Send starts an attempt: over an idle connection, else a new one, else in line behind the fewest. With no
-// room at all it ends at once as Full: the box has not seen it.
-func (b *Box) Send(a core.Attempt, payload []byte) {
-	f := &flight{attempt: a, payload: payload}
+// room at all it ends at once as Full: the box has not seen it. Until is the time, on the clock of Writing, after
+// which it is not written any more.
+func (b *Box) Send(a core.Attempt, payload []byte, until float64) {
+	f := &flight{attempt: a, payload: payload, until: until}
 	b.flights[a] = f
 	idle, next := b.pick()
 	switch {
@@ -107,7 +112,32 @@
 	l.flights = append(l.flights, f)
 	payload := f.payload
 	f.payload = nil
-	b.fx.Write(l, payload)
+	b.fx.Write(l, f.attempt, payload)
+}
+
+// Writing tells whether an attempt's payload is to be written now. One that was given up meanwhile, or whose
+// time is over, is taken off its connection: the box never sees it.
+func (b *Box) Writing(l *Link, a core.Attempt, now float64) bool {
+	i := slices.IndexFunc(l.flights, func(f *flight) bool { return !f.setup && f.attempt == a })
+	if i < 0 {
+		return false // its connection has ended
+	}
+	f := l.flights[i]
+	if !f.dead && now <= f.until {
+		return true
+	}
+	l.flights = slices.Delete(l.flights, i, i+1)
+	if f.dead {
+		l.dead--
+	} else {
+		delete(b.flights, a)
+		b.fx.End(a, policy.ConnectFailed)
+	}
+	if l.dead > 0 && l.dead == len(l.flights) || b.retired && len(l.flights) == 0 {
+		b.close(l)
+	}
+	b.share()
+	return false
 }
 
 func (b *Box) close(l *Link) {
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -20,6 +20,7 @@
 	Work  float64 // mean seconds of a core of speed 1
 	KeyAt int     // the word that holds the submission key, 0: none
 	KeyS  float64 // for so long repeats of a key are dropped
+	Echo  int     // the word that the answer repeats, 0: none
 }
 
 // Arrival is what a box saw of one command.
@@ -54,6 +55,7 @@
 	Seed   uint64
 	Memory *Memory                // shared by the boxes of a room
 	Saw    func(Arrival)          // called for each command that is a job, one at a time
+	Name   string                 // under which it is listed, "": its address
 	Load   string                 // "answer": load rides on answers; else INFO tells it
 	Extra  func(n uint64) float64 // times the usual work that the n-th request costs, nil for none
 }
@@ -61,6 +63,7 @@
 // Box is a stand-in of a queue box on a TCP address.
 type Box struct {
 	addr string
+	name string
 	opt  BoxOptions
 	rng  *rand.Rand
 
@@ -85,6 +88,9 @@
 	if err := b.listen(); err != nil {
 		return nil, err
 	}
+	if b.name = opt.Name; b.name == "" {
+		b.name = b.addr
+	}
 	return b, nil
 }
 
@@ -225,7 +231,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at := time.Now()
-	a := Arrival{At: at, Box: b.addr, Instance: instance, Words: words}
+	a := Arrival{At: at, Box: b.name, Instance: instance, Words: words}
 	r := b.run(at, j, words, &a)
 	r.mute = words[0] == b.mute
 	if b.opt.Saw != nil {
@@ -260,7 +266,12 @@
 	}
 	a.Executed = true
 	doneAt := b.base.Add(time.Duration((done - 1) * 1e9))
-	text := "+" + strings.Join([]string{words[0], "done", words[min(1, len(words)-1)]}, " ") + "\r\n"
+	text := strings.Join([]string{words[0], "done", words[min(1, len(words)-1)]}, " ")
+	if j.Echo > 0 && j.Echo < len(words) {
+		text = string(resp.AppendBulk(nil, text+" "+words[j.Echo]))
+	} else {
+		text = string(resp.AppendSimple(nil, text))
+	}
 	if key != "" {
 		mem.seen[key] = remembered{at, doneAt, text}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,6 +27,7 @@
 	missMost      = 2     // a peer that leaves so many unanswered is silent: it leaves the ring
 	silentRetryS  = 1.0   // for so long
 	gapS          = 0.1   // no event for so long: this gateway itself stood still
+	stoodS        = 0.3   // and for so long: others may have turned to the next on the ring
 	poolShare     = 0.5   // of a ceiling, that grants of the first gateway on the ring are paid from
 	anyIntake     = 1e6   // stands for no bound on it
 	lagS          = 0.05  // added to a verdict's age
@@ -357,7 +358,8 @@
 }
 
 // ledger brings the owner's count up to now. The window opens evenly; for a stand-in that nobody has
-// reported to, by its part alone: it may be cut off while others serve the same customer.
+// reported to, by its part alone: it may be cut off while others serve the same customer. It stays shut
+// while this gateway itself stood still.
 func (g *Gateway) ledger(c *customer) *ledger {
 	if c.led == nil {
 		c.led = &ledger{room: g.roomNow(c), at: g.now, born: g.now, members: map[int]*member{}}
@@ -366,7 +368,11 @@
 	if c.prime != g.s.Me && len(l.members) == 0 {
 		rate /= float64(c.entries)
 	}
-	l.room, l.at = min(c.plan.Burst, l.room+rate*(g.now-l.at)), g.now
+	open := g.now - l.at
+	if g.s.Peers && c.entries != 1 && l.at < g.stoodAt { // others counted meanwhile, and will tell
+		open = max(open-g.stoodFor, 0)
+	}
+	l.room, l.at = min(c.plan.Burst, l.room+rate*open), g.now
 	return l
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -903,3 +903,46 @@
 		t.Errorf("%d messages, want the burst at half of the split, and the question", n)
 	}
 }
+
+// Guards the wire's stalls: the window of a customer opened while its owner stood still and others counted it.
+func TestWindowStaysShutWhileItsOwnerStoodStill(t *testing.T) {
+	const n = 4
+	s := testSettings()
+	s.Gateways = n
+	for _, stood := range []float64{0, 0.31, 2, 4, 20} {
+		r := &recorder{}
+		g, _ := New(s, 7, 100, r)
+		g.Servers(100, []Server{{ID: "s1"}, {ID: "s2"}}, true)
+		who := ""
+		for i := 0; who == ""; i++ { // a customer that this gateway owns
+			c := g.customer(Request{Customer: fmt.Sprint("c", i), Plan: "basic", Entries: n})
+			if c.prime == g.s.Me {
+				who = fmt.Sprint("c", i)
+			}
+		}
+		ask := func(now float64) (passed int) {
+			before := len(r.of("admit", ""))
+			for i := range 20 {
+				g.Request(now, Request{ID: fmt.Sprint("q", now, i), Class: "read", Plan: "basic", Customer: who, DeadlineS: now + 10,
+					Entries: n, Units: 1, Limit: true})
+			}
+			return len(r.of("admit", "")) - before
+		}
+		now := 100.02
+		if got := ask(now); got < 5 { // a burst of 8, less what cheap work leaves to dearer work
+			t.Fatalf("%d passed of a burst of 8", got)
+		}
+		now += stood
+		g.Timer(now, 1)
+		second := ask(now)
+		if got := second; got > 2 { // what cheap work left, now that less is asked
+			t.Errorf("after a stall of %v s it passed %d that others may have passed meanwhile", stood, got)
+		}
+		for end := now + 2; now < end; now += tickS { // and goes on as usual: 2 units a second
+			g.Timer(now, 1)
+		}
+		if got := second + ask(now); got < 3 || got > 6 {
+			t.Errorf("within 2 s after a stall of %v s it passed %d, want 4 or so", stood, got)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -218,6 +218,8 @@
 	boot      uint8
 	seq       uint16
 	gapAt     float64 // when this gateway last came back from a gap of its own
+	stoodAt   float64 // when it last came back from one so long that others counted in its place
+	stoodFor  float64 // and how long that was
 	lost      float64 // share of reports unanswered
 	inRate    float64 // messages a second that come in
 	inAt      float64
@@ -404,6 +406,9 @@
 	if now-g.now > gapS {
 		g.gapAt = now
 	}
+	if now-g.now > stoodS {
+		g.stoodAt, g.stoodFor = now, now-g.now
+	}
 	g.now = now
 }
 
