Logs and counts tell why a connection, an attempt or a request ended

- The module gives a reason with each refusal (over quota, no word from the owner, too little time, no further attempt, no server with room); counts by reason.
No ruling changes.
- The front notes the first reason for each close.
A connection that ends here with requests open is a warning with their ids.
- core.Machine.Observe tells of each attempt sent and ended, each answer and each client that left, with the request's id; the trace of edge uses it in place of three wrappers.
- Connections to servers that can't be opened are warned of with the system's error, ten lines a second at most.
- Totals stand in the log every 10 s without a trace.

--- a/cmd/cometpond/main.go
+++ b/cmd/cometpond/main.go
@@ -42,9 +42,10 @@
 		if err != nil {
 			return zerolog.Logger{}, fmt.Errorf("log-level %q: want debug, info, warn or error", level)
 		}
+		zerolog.TimeFieldFormat = timeFormat
 		switch format {
 		case "console":
-			w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: "15:04:05.000"}
+			w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: "15:04:05.000000"}
 		case "json":
 		default:
 			return zerolog.Logger{}, fmt.Errorf("log %q: want console or json", format)
@@ -55,4 +56,7 @@
 	return c
 }
 
+// timeFormat tells events of one second apart.
+const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
+
 type newLogger func(io.Writer) (zerolog.Logger, error)
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -43,7 +43,7 @@
 	l.End()
 }
 
-func (a actions) Refuse(id string, retryInS float64) {
+func (a actions) Refuse(id string, retryInS float64, _ policy.Refusal) {
 	l := a.w.Begin("BOUNCE", a.i).ID("id", id)
 	if retryInS > 0 {
 		l.Num("retryInS", retryInS)
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -78,6 +78,7 @@
 	opt    Options
 	core   Core
 	lim    resp.Limits
+	warn   zerolog.Logger // for what may come in masses: so many lines a second
 	client *gnet.Client
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -131,6 +132,9 @@
 	timer *time.Timer
 }
 
+// warnMost bounds the warnings a second about single connections.
+const warnMost = 10
+
 // New starts the event loops of a pool without boxes.
 func New(c Core, opt Options) (*Pool, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -138,7 +142,7 @@
 		opt.DialContext = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
 	p := &Pool{opt: opt, core: c, lim: opt.Dialect.Limits(), boxes: map[string]*box{}, located: map[string]string{},
-		ctx: ctx, cancel: cancel, start: time.Now()}
+		ctx: ctx, cancel: cancel, start: time.Now(), warn: opt.Log.Sample(&zerolog.BurstSampler{Burst: warnMost, Period: time.Second})}
 	cl, err := gnet.NewClient(p, gnet.WithNumEventLoop(max(1, opt.Loops)), gnet.WithTCPKeepAlive(15*time.Second),
 		gnet.WithLogger(netlog.Logger{Log: opt.Log}), gnet.WithLogLevel(logging.ErrorLevel))
 	if err != nil {
@@ -421,6 +425,7 @@
 			return
 		}
 		p.dialsFailed.Add(1)
+		p.warn.Warn().Str("box", b.name).Str("addr", addr).Bool("probe", probe).Err(err).Msg("no connection to a box")
 		if probe {
 			b.probed(policy.ConnectFailed, nil)
 			return
@@ -532,7 +537,7 @@
 }
 
 // OnClose ends what was out on a connection: each attempt on it may have run.
-func (p *Pool) OnClose(c gnet.Conn, _ error) gnet.Action {
+func (p *Pool) OnClose(c gnet.Conn, err error) gnet.Action {
 	l, ok := c.Context().(*link)
 	if !ok {
 		return gnet.None
@@ -547,6 +552,8 @@
 	}
 	b.mu.Lock()
 	if l.state != nil {
+		p.warn.Debug().Str("box", b.name).AnErr("error", err).Int64("unwritten_bytes", left).Int("attempts", l.state.Out()).
+			Msg("connection to a box ended")
 		b.conns.Closed(p.now(), l.state, l.given-left)
 	}
 	wasProbe := b.probe == l
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -132,6 +132,9 @@
 // Bound sets how many requests may be under way at once, 1 at least. It must come before Run.
 func (l *Loop) Bound(most int) { l.machine.Bound(most) }
 
+// Observe has f called at each event in the life of a request, by whoever drives the machine. It must come before Run.
+func (l *Loop) Observe(f func(Note)) { l.machine.Observe(f) }
+
 func (l *Loop) notify() {
 	select {
 	case l.wake <- struct{}{}:
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -110,6 +110,30 @@
 	Load    *policy.Load
 }
 
+// Event is a step in the life of a request.
+type Event uint8
+
+// The events.
+const (
+	AttemptSent  Event = iota // an attempt is handed to the backend
+	AttemptEnded              // it has ended, as Status says
+	CallAnswered              // a call has its final answer
+	ClientLeft                // a call's client reads no answer any more
+)
+
+// Note tells an observer of one event. What does not belong to the event is zero.
+type Note struct {
+	Event   Event
+	ID      string // the call's name; of several joined calls, the first one's
+	Client  string
+	Attempt int // of the request, from 0
+	Box     string
+	Status  policy.Status
+	SpentS  float64 // since the attempt was sent, or since the call was taken
+	WithinS float64 // what the attempt may take, or what the client gave
+	Answer  Answer
+}
+
 // Counts are totals since the start.
 type Counts struct {
 	Taken, Served, Refused, Failed, Admitted, Gone uint64
@@ -119,6 +143,7 @@
 	Overdue                                        uint64 // answered by the last resort, past the deadline
 	Late                                           uint64 // results of attempts that had ended
 	Attempts, Timeouts, Probes, Told, Heard        uint64
+	RefusedFor                                     [policy.Refusals]uint64 // requests, by the module's reason
 }
 
 // maxHeld bounds the requests under way, unless Bound sets fewer. One more is refused at once.
@@ -146,6 +171,7 @@
 	ended    []ended // outcomes that came while the module was at work
 	draining bool
 	counts   Counts
+	observe  func(Note) // nil: nobody does
 }
 
 // slot is one request under way.
@@ -198,6 +224,28 @@
 	return m, nil
 }
 
+// Observe has f called at each event, from within the machine's methods. It must come before the first of them.
+func (m *Machine) Observe(f func(Note)) { m.observe = f }
+
+// noteAttempt tells the observer of an attempt.
+func (m *Machine) noteAttempt(e Event, s *slot, n int, status policy.Status, withinS float64) {
+	if m.observe == nil {
+		return
+	}
+	note := Note{Event: e, Attempt: n, Box: s.attempts[n].box, Status: status, SpentS: m.now - s.attempts[n].sentAt, WithinS: withinS}
+	if len(s.calls) > 0 {
+		note.ID, note.Client = s.calls[0].ID, s.calls[0].Client
+	}
+	m.observe(note)
+}
+
+// noteCall tells the observer of a call.
+func (m *Machine) noteCall(e Event, c *Call) {
+	if m.observe != nil {
+		m.observe(Note{Event: e, ID: c.ID, Client: c.Client, SpentS: m.now - c.takenAt, WithinS: c.WithinS, Answer: c.Answer})
+	}
+}
+
 // Bound sets how many requests may be under way, 1 at least.
 func (m *Machine) Bound(most int) { m.most = min(max(most, 1), maxHeld) }
 
@@ -370,6 +418,7 @@
 	c.done = true
 	m.named(c)
 	m.counts.Gone++
+	m.noteCall(ClientLeft, c)
 	i := c.slot - 1
 	s := &m.slots[i]
 	if s.gen != c.gen || s.over {
@@ -407,6 +456,7 @@
 	s := &m.slots[i]
 	a := &s.attempts[n]
 	a.done = true
+	m.noteAttempt(AttemptEnded, s, n, status, 0)
 	m.ended = append(m.ended, ended{i, s.gen, n, status, m.now - a.sentAt, load})
 }
 
@@ -498,6 +548,7 @@
 		a.Quota = m.quota(c)
 	}
 	c.Answer = a
+	m.noteCall(CallAnswered, c)
 	m.fx.Answered(c)
 }
 
@@ -684,15 +735,18 @@
 		m.keys.Sent(m.now, s.entry, server)
 	}
 	m.at(min(m.now+timeoutS, s.deadline), timer{kind: timeout, slot: i, gen: s.gen, n: n})
+	m.noteAttempt(AttemptSent, s, n, policy.OK, timeoutS)
 	m.fx.Send(Attempt{i, s.gen, n}, server, s.payload, min(timeoutS, s.deadline-m.now))
 }
 
 // Refuse is the final answer that trying again is harmless.
-func (a *actions) Refuse(id string, retryInS float64) {
+func (a *actions) Refuse(id string, retryInS float64, why policy.Refusal) {
 	m := (*Machine)(a)
 	if i, s := m.find(id); s != nil {
-		why := "over quota, or no box has room in time"
-		m.finalAll(i, Answer{Kind: Refused, RetryS: retryInS, Why: why})
+		if !s.over {
+			m.counts.RefusedFor[why]++
+		}
+		m.finalAll(i, Answer{Kind: Refused, RetryS: retryInS, Why: why.String()})
 	}
 }
 
--- a/internal/core/machine_test.go
+++ b/internal/core/machine_test.go
@@ -379,15 +379,15 @@
 
 type countingActions struct{ n int }
 
-func (c *countingActions) Send(string, string, float64) { c.n++ }
-func (c *countingActions) Refuse(string, float64)       { c.n++ }
-func (c *countingActions) Fail(string)                  { c.n++ }
-func (c *countingActions) Admit(string)                 { c.n++ }
-func (c *countingActions) Cancel(string, int)           { c.n++ }
-func (c *countingActions) SetTimer(uint64, float64)     {}
-func (c *countingActions) Probe(string)                 {}
-func (c *countingActions) Tell(int, []byte)             {}
-func (c *countingActions) Log(string)                   {}
+func (c *countingActions) Send(string, string, float64)           { c.n++ }
+func (c *countingActions) Refuse(string, float64, policy.Refusal) { c.n++ }
+func (c *countingActions) Fail(string)                            { c.n++ }
+func (c *countingActions) Admit(string)                           { c.n++ }
+func (c *countingActions) Cancel(string, int)                     { c.n++ }
+func (c *countingActions) SetTimer(uint64, float64)               {}
+func (c *countingActions) Probe(string)                           {}
+func (c *countingActions) Tell(int, []byte)                       {}
+func (c *countingActions) Log(string)                             {}
 
 type discard struct{}
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -121,6 +121,9 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	e.loop.Bound(b.Held)
+	if c.Trace {
+		e.loop.Observe(traceRequests(log))
+	}
 	e.stalls = core.NewStalls(e.clock)
 	e.pool, err = backend.New(e.loop, poolOptions(c, b, log.With().Str("part", "backend").Logger()))
 	if err != nil {
@@ -162,16 +165,14 @@
 	case <-wait.C:
 		log.Warn().Str("discovery", c.Discovery).Msg("no list of backends yet: all is refused until one comes")
 	}
-	var commands front.Commands = svc.NewClients(svc.NewBook(c.Terms.Settings))
-	var taker front.Core = e.loop
-	if c.Trace {
-		taker = &tracedCore{e.loop, log}
-		commands = &traced{Commands: commands, clock: e.clock, log: log}
-		e.run(func() { e.beliefs(parts) })
-	}
-	e.front, err = front.Start(taker, front.Options{Listen: c.Listen, Loops: 1, OneLoop: true, Leavers: true, Bounds: b.Front, Crowd: b.Crowd,
+	commands := svc.NewClients(svc.NewBook(c.Terms.Settings))
+	e.front, err = front.Start(e.loop, front.Options{Listen: c.Listen, Loops: 1, OneLoop: true, Leavers: true, Bounds: b.Front, Crowd: b.Crowd,
 		Commands: commands, Age: e.stalls.Age, Log: log.With().Str("part", "front").Logger()})
-	return e, err
+	if err != nil {
+		return nil, err
+	}
+	e.run(func() { e.watch(parts) })
+	return e, nil
 }
 
 func poolOptions(c *Config, b plan.Budget, log zerolog.Logger) backend.Options {
--- a/internal/edge/trace.go
+++ b/internal/edge/trace.go
@@ -9,23 +9,32 @@
 
 	"cometpond/internal/backend"
 	"cometpond/internal/core"
-	"cometpond/internal/front"
+	"cometpond/policy"
 )
 
-// traced logs each answer to a client. It is for a look at one run: it costs more than the requests do.
-type traced struct {
-	front.Commands
-	clock core.Clock
-	log   zerolog.Logger
-}
+// Times between two lines of totals.
+const (
+	totalsEvery      = 10 * time.Second
+	totalsEveryTrace = time.Second
+)
 
 var kinds = map[core.Kind]string{core.Served: "served", core.Refused: "refused", core.Failed: "failed", core.Admitted: "admitted"}
 
-// Answer logs an answer and passes it on.
-func (t *traced) Answer(dst []byte, c *core.Call) []byte {
-	t.log.Info().Str("id", c.ID).Str("customer", c.Client).Int("class", c.Class).Float64("within", c.WithinS).Float64("age", c.AgeS).
-		Float64("took", t.clock.Now()-c.TakenAt()).Str("why", c.Answer.Why).Msg(kinds[c.Answer.Kind])
-	return t.Commands.Answer(dst, c)
+// traceRequests logs each step in the life of a request. It is for a look at one run: it costs more than the requests do.
+func traceRequests(log zerolog.Logger) func(core.Note) {
+	return func(n core.Note) {
+		line := log.Info().Str("id", n.ID).Str("customer", n.Client)
+		switch n.Event {
+		case core.AttemptSent:
+			line.Int("attempt", n.Attempt).Str("server", n.Box).Float64("within", n.WithinS).Msg("attempt sent")
+		case core.AttemptEnded:
+			line.Int("attempt", n.Attempt).Str("server", n.Box).Float64("took", n.SpentS).Stringer("status", n.Status).Msg("attempt ended")
+		case core.CallAnswered:
+			line.Float64("within", n.WithinS).Float64("took", n.SpentS).Str("why", n.Answer.Why).Msg(kinds[n.Answer.Kind])
+		case core.ClientLeft:
+			line.Float64("took", n.SpentS).Msg("client left")
+		}
+	}
 }
 
 // tracedBackends logs each attempt as it is about to be written.
@@ -37,49 +46,60 @@
 // AppendAttempt logs an attempt by the customer and the id in its command, and passes it on.
 func (t *tracedBackends) AppendAttempt(dst, payload []byte, leftS float64) []byte {
 	if words := bytes.Fields(payload[:min(len(payload), 128)]); len(words) > 6 {
-		t.log.Info().Bytes("customer", words[4]).Bytes("id", words[6]).Float64("left", leftS).Msg("attempt")
+		t.log.Info().Bytes("customer", words[4]).Bytes("id", words[6]).Float64("left", leftS).Msg("attempt written")
 	}
 	return t.Dialect.AppendAttempt(dst, payload, leftS)
 }
 
-// tracedCore logs the calls whose clients have left.
-type tracedCore struct {
-	front.Core
-	log zerolog.Logger
-}
-
-// Gone logs calls and passes them on.
-func (t *tracedCore) Gone(calls []*core.Call) {
-	for _, c := range calls {
-		t.log.Info().Str("id", c.ID).Str("customer", c.Client).Msg("gone")
+// watch logs totals until ctx is over, and with a trace what the module holds of each server.
+func (e *Edge) watch(ctx context.Context) {
+	every := totalsEvery
+	if e.cfg.Trace {
+		every = totalsEveryTrace
 	}
-	t.Core.Gone(calls)
-}
-
-// beliefs logs once a second what the module holds of each server beside what its connections carry.
-func (e *Edge) beliefs(ctx context.Context) {
-	tick := time.NewTicker(time.Second)
+	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
+			e.logTotals()
 			return
 		case <-tick.C:
 		}
-		held := e.pool.Held()
-		for _, b := range e.loop.Beliefs() {
-			h := held[b.Server.ID]
-			e.log.Info().Str("server", b.Server.ID).Int("state", int(b.Server.State)).Int("believed_out", b.InFlight).Int("out", h.Out).
-				Int("connections", h.Connections).Int("idle", h.Idle).Int("given_up", h.GivenUp).Float64("speed", b.Speed).
-				Float64("sick", b.Sick).Float64("util", b.Util).Float64("util_age", b.UtilAgeS).Msg("belief")
+		if e.cfg.Trace {
+			e.logBeliefs()
+		}
+		e.logTotals()
+	}
+}
+
+// logBeliefs logs what the module holds of each server beside what its connections carry.
+func (e *Edge) logBeliefs() {
+	held := e.pool.Held()
+	for _, b := range e.loop.Beliefs() {
+		h := held[b.Server.ID]
+		e.log.Info().Str("server", b.Server.ID).Int("state", int(b.Server.State)).Int("believed_out", b.InFlight).Int("out", h.Out).
+			Int("connections", h.Connections).Int("idle", h.Idle).Int("given_up", h.GivenUp).Float64("speed", b.Speed).
+			Float64("sick", b.Sick).Float64("util", b.Util).Float64("util_age", b.UtilAgeS).Msg("belief")
+	}
+}
+
+// logTotals logs the counts since the start.
+func (e *Edge) logTotals() {
+	s, p, c := e.loop.Status(), e.pool.Counts(), e.front.Counts()
+	lists, failed := e.disc.Counts()
+	refused := zerolog.Dict()
+	for why, n := range s.RefusedFor {
+		if n > 0 {
+			refused.Uint64(policy.Refusal(why).String(), n)
 		}
-		s, p, c := e.loop.Status(), e.pool.Counts(), e.front.Counts()
-		lists, failed := e.disc.Counts()
-		e.log.Info().Uint64("lists", lists).Uint64("lists_failed", failed).Uint64("taken", s.Taken).Uint64("served", s.Served).Uint64("refused", s.Refused).Uint64("failed", s.Failed).
-			Uint64("gone", s.Gone).Uint64("too_late", s.TooLate).Uint64("overdue", s.Overdue).Uint64("late", s.Late).Uint64("attempts", s.Attempts).
-			Uint64("timeouts", s.Timeouts).Uint64("stalls", e.stalls.Seen()).Int("held", s.Held).Int("waiting", s.Waiting).
-			Uint64("dials", p.Dials).Uint64("dials_failed", p.DialsFailed).Uint64("broken", p.Broken).Int64("box_connections", p.Open).
-			Int("client_connections", e.front.Open()).Uint64("cut", c.Cut).
-			Uint64("gave_way", c.Evicted).Uint64("parked", c.Parked).Msg("totals")
 	}
+	e.log.Info().Uint64("lists", lists).Uint64("lists_failed", failed).Uint64("taken", s.Taken).Uint64("served", s.Served).
+		Uint64("refused", s.Refused).Dict("refused_for", refused).Uint64("failed", s.Failed).Uint64("gone", s.Gone).
+		Uint64("too_late", s.TooLate).Uint64("overfull", s.Overfull).Uint64("overdue", s.Overdue).Uint64("late", s.Late).
+		Uint64("attempts", s.Attempts).Uint64("timeouts", s.Timeouts).Uint64("stalls", e.stalls.Seen()).
+		Int("held", s.Held).Int("waiting", s.Waiting).Uint64("dials", p.Dials).Uint64("dials_failed", p.DialsFailed).
+		Uint64("broken", p.Broken).Int64("box_connections", p.Open).Int("client_connections", e.front.Open()).
+		Uint64("opened", c.Opened).Uint64("cut", c.Cut).Uint64("evicted", c.Evicted).Uint64("parked", c.Parked).
+		Uint64("ended_with_open_requests", c.Abandoned).Msg("totals")
 }
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -69,6 +69,9 @@
 	lingered int     // so many bytes
 	lingerTo float64 // and until then
 
+	reason   closeReason // why it is ending, "" while it is not
+	endError error       // the system's, if it broke
+
 	out       []byte    // answers that the socket did not take yet
 	congested bool      // so many that no more are written for now
 	leftSince time.Time // when it last took some
@@ -114,6 +117,7 @@
 func (k *conn) arrived(data []byte) gnet.Action {
 	if k.lingers {
 		if k.lingered += len(data); k.lingered > lingerBytes {
+			k.because(lingeredTooLong)
 			return gnet.Close
 		}
 		return gnet.None
@@ -196,6 +200,7 @@
 	if broken != nil {
 		s.cut.Add(1)
 		k.quit = true
+		k.because(badInput)
 		k.say(func(b []byte) []byte { return resp.AppendError(b, "ERR "+broken.Error()) })
 	}
 	if act := l.write(k); act != gnet.None {
@@ -218,6 +223,7 @@
 	if k.client == nil {
 		if k.strange = len(k.in); s.stranger(k, len(k.in)) == intake.Cut {
 			s.cut.Add(1)
+			k.because(badInput)
 			k.in, k.quit = nil, true
 			k.say(func(b []byte) []byte {
 				return resp.AppendError(b, "ERR too much input of clients that have not logged in")
@@ -272,16 +278,21 @@
 	k.parking = false
 	fd, err := c.Dup()
 	if err != nil {
+		k.because(parkFailed)
+		k.endError = err
 		return false
 	}
 	f := os.NewFile(uintptr(fd), "parked")
 	defer f.Close()
 	if k.parked, err = net.FileConn(f); err != nil {
+		k.because(parkFailed)
+		k.endError = err
 		k.parked = nil
 		return false
 	}
 	if k.parked.RemoteAddr() == nil { // reset meanwhile: nobody is at the other end, and Enroll could not cope
 		k.parked.Close()
+		k.because(connectionBroken)
 		k.parked = nil
 		return false
 	}
@@ -317,6 +328,7 @@
 	turn := k.unparks
 	if !s.returning() {
 		c.Close()
+		k.because(shuttingDown)
 		l.lost(k)
 		return
 	}
@@ -324,6 +336,8 @@
 	if err != nil {
 		s.returns.Done()
 		c.Close()
+		k.because(resumeFailed)
+		k.endError = err
 		l.lost(k)
 		return
 	}
@@ -333,6 +347,7 @@
 		// An error of Execute means that the engine shuts down, which closes everything.
 		_ = l.el.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 			if k.returning && k.unparks == turn && !k.closed { // it may be parked and on its way once more
+				k.because(resumeFailed)
 				l.lost(k)
 			}
 			return nil
@@ -410,6 +425,8 @@
 		n, err := k.send(b)
 		if err != nil {
 			l.buf = l.buf[:0]
+			k.because(writeFailed)
+			k.endError = err
 			return gnet.Close
 		}
 		b = b[n:]
@@ -486,8 +503,11 @@
 	if act := l.write(k); act != gnet.None {
 		return act
 	}
-	if k.quit && k.waiting() == 0 && len(k.out) == 0 || l.s.retiring.Load() && k.guest.Asked > 0 && k.idle() && !k.unread() {
-		return l.finish(k)
+	switch {
+	case k.quit && k.waiting() == 0 && len(k.out) == 0:
+		return l.finish(k, asked)
+	case l.s.retiring.Load() && k.guest.Asked > 0 && k.idle() && !k.unread():
+		return l.finish(k, shuttingDown)
 	}
 	return gnet.None
 }
@@ -502,10 +522,11 @@
 // finish ends a connection that has nothing open: its sending side at once, and the rest when the client has ended, too.
 // What comes meanwhile is thrown away. Closed at once, unread bytes would reset the connection, and with it answers that
 // are on their way; and a request that comes now was not read, so that its client sends it again elsewhere.
-func (l *loop) finish(k *conn) gnet.Action {
+func (l *loop) finish(k *conn, reason closeReason) gnet.Action {
 	if k.lingers {
 		return gnet.None
 	}
+	k.because(reason)
 	if k.c == nil || unix.Shutdown(k.c.Fd(), unix.SHUT_WR) != nil {
 		return gnet.Close
 	}
@@ -527,7 +548,7 @@
 func (l *loop) hurry() {
 	k := l.lingering[0]
 	l.lingered(k)
-	l.cut(k)
+	l.cut(k, lingeredTooLong)
 }
 
 // lingered takes a connection off those that linger.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -80,6 +80,7 @@
 	Opened, Open, Commands, Cut, Denied uint64
 	Parked                              uint64 // times that a connection was left unread for a while
 	Evicted                             uint64 // connections closed for the sake of new ones
+	Abandoned                           uint64 // requests whose connection ended here before their answer
 	Input                               intake.Counts
 }
 
@@ -110,8 +111,8 @@
 
 	lingering atomic.Int64 // connections whose sending side has ended
 
-	nextID                                              atomic.Uint64
-	opened, open, commands, cut, denied, parks, evicted atomic.Uint64
+	nextID                                                         atomic.Uint64
+	opened, open, commands, cut, denied, parks, evicted, abandoned atomic.Uint64
 }
 
 // passAfter is how long a connection waits for memory until none passes it, seconds.
@@ -247,7 +248,7 @@
 func (l *loop) part(last bool) {
 	for k := range l.conns {
 		if k.idle() && !k.unread() || last && k.c != nil && k.waiting() == 0 {
-			l.act(k, l.finish(k))
+			l.act(k, l.finish(k, shuttingDown))
 		}
 	}
 }
@@ -282,6 +283,7 @@
 		for k := range l.conns {
 			if k.parked != nil {
 				k.parked.Close()
+				k.because(shuttingDown)
 				l.lost(k)
 			}
 		}
@@ -354,7 +356,7 @@
 	s.poolMu.Lock()
 	input := s.pool.Counts()
 	s.poolMu.Unlock()
-	return Counts{s.opened.Load(), s.open.Load(), s.commands.Load(), s.cut.Load(), s.denied.Load(), s.parks.Load(), s.evicted.Load(), input}
+	return Counts{s.opened.Load(), s.open.Load(), s.commands.Load(), s.cut.Load(), s.denied.Load(), s.parks.Load(), s.evicted.Load(), s.abandoned.Load(), input}
 }
 
 // loopOf returns what is kept for an event loop.
@@ -398,6 +400,7 @@
 	c.SetContext(k)
 	if s.stopping.Load() && s.opt.Commands == nil {
 		k.quit = true
+		k.because(shuttingDown)
 		k.say(func(b []byte) []byte { return resp.AppendError(b, "ERR this instance is shutting down") })
 		if act := l.write(k); act != gnet.None {
 			return nil, act
@@ -413,6 +416,7 @@
 	if !ok { // it was turned away
 		s.open.Add(^uint64(0))
 	} else if !k.keep(c) {
+		k.ended(err)
 		k.loop.lost(k)
 	}
 	return gnet.None
@@ -434,6 +438,7 @@
 			gone = append(gone, &p.call)
 		}
 	}
+	k.report(gone)
 	if len(gone) > 0 {
 		s.core.Gone(gone)
 	}
@@ -584,7 +589,7 @@
 // act carries out what came of a connection outside gnet's own calls.
 func (l *loop) act(k *conn, act gnet.Action) {
 	if act == gnet.Close {
-		l.cut(k)
+		l.cut(k, shuttingDown)
 	}
 }
 
@@ -618,7 +623,7 @@
 		switch {
 		case k.closed || k.parked == nil: // gone, or read again
 		case k.left():
-			l.cut(k)
+			l.cut(k, clientClosed)
 		default:
 			l.unread = append(l.unread, k)
 		}
@@ -676,7 +681,10 @@
 		}
 		if err != nil || len(k.out) > 0 && time.Since(k.leftSince) > l.s.opt.Bounds.Partial {
 			l.s.cut.Add(1)
-			l.cut(k)
+			if k.endError = err; err != nil {
+				k.because(writeFailed)
+			}
+			l.cut(k, answersUnread)
 		} else if !k.congested {
 			l.act(k, k.resume())
 		}
@@ -687,7 +695,8 @@
 }
 
 // cut ends a connection, in the event loop or parked.
-func (l *loop) cut(k *conn) {
+func (l *loop) cut(k *conn, reason closeReason) {
+	k.because(reason)
 	if k.c != nil {
 		_ = l.el.Close(k.c) // an error is the system's about a descriptor that is gone
 	} else if k.parked != nil {
@@ -712,9 +721,10 @@
 		case k.lingers || k.quit:
 		case slow && k.c != nil && !k.congested:
 			l.s.cut.Add(1)
+			k.because(unfinishedCommand)
 			k.leaves() // answers that are awaited come first
 		case k.idle() && leaves(k.guest, seconds(), open) && !k.unread():
-			l.act(k, l.finish(k))
+			l.act(k, l.finish(k, idleTooLong))
 		}
 	}
 }
@@ -742,8 +752,8 @@
 		return false
 	}
 	l.s.evicted.Add(1)
-	if l.act(out, l.finish(out)); !out.closed && out.guest.Asked == 0 {
-		l.cut(out) // nothing was sent there that a close could take back
+	if l.act(out, l.finish(out, evictedForOther)); !out.closed && out.guest.Asked == 0 {
+		l.cut(out, evictedForOther) // nothing was sent there that a close could take back
 	}
 	return true
 }
--- a/internal/instance/measure_test.go
+++ b/internal/instance/measure_test.go
@@ -121,15 +121,15 @@
 
 type silent struct{}
 
-func (silent) Send(string, string, float64) {}
-func (silent) Refuse(string, float64)       {}
-func (silent) Fail(string)                  {}
-func (silent) Admit(string)                 {}
-func (silent) Cancel(string, int)           {}
-func (silent) SetTimer(uint64, float64)     {}
-func (silent) Probe(string)                 {}
-func (silent) Tell(int, []byte)             {}
-func (silent) Log(string)                   {}
+func (silent) Send(string, string, float64)           {}
+func (silent) Refuse(string, float64, policy.Refusal) {}
+func (silent) Fail(string)                            {}
+func (silent) Admit(string)                           {}
+func (silent) Cancel(string, int)                     {}
+func (silent) SetTimer(uint64, float64)               {}
+func (silent) Probe(string)                           {}
+func (silent) Tell(int, []byte)                       {}
+func (silent) Log(string)                             {}
 
 // pump keeps one connection busy with a command, so many to a write, and returns the answers a second of
 // all connections together. mark is a text that comes once in each answer.
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -183,6 +183,9 @@
 	return 0, false
 }
 
+// Out is the number of attempts on a connection that await their answer.
+func (l *Link) Out() int { return len(l.flights) - l.setups - l.dead }
+
 // Wrote tells where an attempt that Writing let through ends among the bytes that its connection is to carry.
 func (l *Link) Wrote(a core.Attempt, end int64) {
 	if i := slices.IndexFunc(l.flights, func(f *flight) bool { return !f.setup && f.attempt == a }); i >= 0 {
--- a/policy/api.go
+++ b/policy/api.go
@@ -123,6 +123,11 @@
 	Moot                 // not sent
 )
 
+var statusNames = [...]string{"ok", "error", "turned away", "timed out", "could not connect", "connection broke", "cancelled", "not sent"}
+
+// String is the status in words.
+func (s Status) String() string { return statusNames[s] }
+
 // Load is a server's load report. Fields that were not reported are below 0.
 type Load struct {
 	InFlight, Queue, Util, ServiceMS, ServedPerS, FailedPerS float64
@@ -150,13 +155,31 @@
 // Broadcast as the addressee of Tell means every other gateway.
 const Broadcast = -1
 
+// Refusal is why a request was refused. It is for logs and counts, and changes nothing else.
+type Refusal int
+
+// The reasons of a refusal.
+const (
+	OverQuota    Refusal = iota // the customer's quota or ceiling has no room
+	OwnerSilent                 // the owner of the customer's count gave no word in time
+	OutOfTime                   // too little time is left for one more attempt
+	AttemptsUsed                // no further attempt is allowed
+	NoServer                    // no server had room for it in time
+	Refusals                    // their number
+)
+
+var refusalNames = [Refusals]string{"over quota", "no word from the owner", "too little time left", "no further attempt allowed", "no server with room"}
+
+// String is the reason in words.
+func (r Refusal) String() string { return refusalNames[r] }
+
 // Actions is what a Gateway asks of its ingress. Calls happen only while one of
 // the Gateway's event methods runs, and in the order in which they are to take effect.
 type Actions interface {
-	Send(id, server string, timeoutS float64) // starts the request's next attempt
-	Refuse(id string, retryInS float64)       // final answer: trying again is harmless
-	Fail(id string)                           // final answer: promises nothing
-	Admit(id string)                          // final answer to a Limit request: its units are taken
+	Send(id, server string, timeoutS float64)        // starts the request's next attempt
+	Refuse(id string, retryInS float64, why Refusal) // final answer: trying again is harmless
+	Fail(id string)                                  // final answer: promises nothing
+	Admit(id string)                                 // final answer to a Limit request: its units are taken
 	Cancel(id string, attempt int)
 	SetTimer(token uint64, delayS float64)
 	Probe(server string)
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -17,7 +17,9 @@
 	in.sent = append(in.sent, server)
 	fmt.Printf("%s: send %s to %s\n", in.name, id, server)
 }
-func (in *ingress) Refuse(id string, retryInS float64)    { fmt.Printf("%s: refuse %s\n", in.name, id) }
+func (in *ingress) Refuse(id string, retryInS float64, _ policy.Refusal) {
+	fmt.Printf("%s: refuse %s\n", in.name, id)
+}
 func (in *ingress) Fail(id string)                        { fmt.Printf("%s: fail %s\n", in.name, id) }
 func (in *ingress) Admit(id string)                       { fmt.Printf("%s: admit %s\n", in.name, id) }
 func (in *ingress) Cancel(id string, attempt int)         {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -159,8 +159,10 @@
 		v = g.inQuota(r)
 	}
 	switch {
-	case v == deny || !g.mayRetry(r): // a client's late try can arrive with no time left at all
-		g.refuse(r)
+	case v == deny:
+		g.refuse(r, OverQuota)
+	case !g.mayRetry(r): // a client's late try can arrive with no time left at all
+		g.refuse(r, OutOfTime)
 	case v == wait:
 		g.ask(r)
 	default:
@@ -185,7 +187,7 @@
 		g.act.Admit(r.ID)
 		g.over(r)
 	} else if !g.mayRetry(r) {
-		g.refuse(r)
+		g.refuse(r, g.whyNoRetry(r))
 	} else if s := g.choose(r); s != nil {
 		g.send(r, s)
 	} else {
@@ -205,7 +207,7 @@
 }
 
 // refuse ends the request with the mildest answer that is true.
-func (g *Gateway) refuse(r *request) {
+func (g *Gateway) refuse(r *request, why Refusal) {
 	if r.over {
 		return
 	}
@@ -213,7 +215,7 @@
 	if may && (r.cls.Effect == Unsafe || r.cls.Effect == Keyed && r.cls.KeyScope != ScopeAll) {
 		g.act.Fail(r.ID)
 	} else {
-		g.act.Refuse(r.ID, g.s.MaxRetryAfterS)
+		g.act.Refuse(r.ID, g.s.MaxRetryAfterS, why)
 	}
 	for i := range r.attempts {
 		if a := &r.attempts[i]; g.s.Cancel && !a.done && !a.called {
@@ -259,6 +261,14 @@
 	return r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-lagS
 }
 
+// whyNoRetry is the reason for which mayRetry says no.
+func (g *Gateway) whyNoRetry(r *request) Refusal {
+	if g.now+r.cls.lat > r.endAt() {
+		return OutOfTime
+	}
+	return AttemptsUsed
+}
+
 // drain sends what waits, dearest per work first, and drops what can't make its aim.
 func (g *Gateway) drain() {
 	if len(g.queue) == 0 {
@@ -273,7 +283,7 @@
 			}
 			return s != nil
 		}
-		g.refuse(r)
+		g.refuse(r, NoServer)
 		return true
 	})
 }
@@ -576,7 +586,7 @@
 			g.take(r, paid)
 			g.place(r)
 		default:
-			g.refuse(r)
+			g.refuse(r, OverQuota)
 		}
 	}
 }
@@ -891,7 +901,7 @@
 	g.live = slices.DeleteFunc(g.live, func(r *request) bool { return r.over && r.out == 0 })
 	for _, r := range g.live {
 		if r.asking && g.now+tickS > r.endAt()-r.cls.lat {
-			g.refuse(r)
+			g.refuse(r, OwnerSilent)
 			continue
 		}
 		for i := range r.attempts {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -20,7 +20,7 @@
 func (r *recorder) Send(id, s string, t float64) {
 	r.acts = append(r.acts, out{kind: "send", id: id, server: s, x: t})
 }
-func (r *recorder) Refuse(id string, x float64) {
+func (r *recorder) Refuse(id string, x float64, _ Refusal) {
 	r.acts = append(r.acts, out{kind: "refuse", id: id, x: x})
 }
 func (r *recorder) Fail(id string)  { r.acts = append(r.acts, out{kind: "fail", id: id}) }
