What a start or a reload lacks for a moment is waited for

What callers would see: an ingress that does not start because one open, read, socket, bind or setsockopt failed, or that goes on asking the old discovery after SIGHUP, against its rule of 4 s, because the file could not be read at that instant or was half written.

A start reads its configuration for up to 3 s while the system fails, and waits 2 s for sockets and for an address that a process on its way out still holds. A reload reads the file again every 1 to 50 ms for up to 3 s, in a goroutine of its own, one after the other; the old configuration stands after that. A peer's socket that fails to be read no longer spins.

Red before, green now: TestStartsThoughCallsFailForAMoment (no answer in 20 s), TestReloadsThoughTheFileCannotBeReadForAMoment (new discovery never asked). Green from the start, as checks: broken connections to servers and of clients that show as ETIMEDOUT, EHOSTUNREACH, ECONNRESET or EPIPE lose nothing of others, and send nothing again that must not run twice.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"cometpond/internal/edge/svc"
 	"cometpond/internal/front"
 	"cometpond/internal/peer"
+	"cometpond/internal/syserr"
 )
 
 // Edge is a running ingress.
@@ -41,8 +42,16 @@
 	ran       chan struct{}
 	listed    sync.Once
 	first     chan struct{} // closed once a list with servers is in force
+	reloads   chan struct{} // the configuration is to be read again
 }
 
+// Times for which the configuration file is tried again when it can't be read, or at a reload holds no configuration: it
+// may be read while it is being written.
+const (
+	loadFor   = 3 * time.Second
+	reloadFor = 3 * time.Second
+)
+
 // Confine keeps the process to its machine: few threads at work, and a heap that stays well under the memory.
 func Confine(c *Config) {
 	b := plan.NewBudget(c.Limits, c.Terms.MostHeld, svc.MaxValue)
@@ -53,11 +62,6 @@
 // Run is the life of an ingress, from its configuration to its end: hup has the configuration read again, at any moment, and
 // term has it leave. Both may come before it is up, together, and more than once.
 func Run(getenv func(string) string, hup, term <-chan os.Signal, log zerolog.Logger) error {
-	cfg, err := Load(getenv)
-	if err != nil {
-		return err
-	}
-	Confine(cfg)
 	starting, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	type outcome struct {
@@ -66,7 +70,7 @@
 	}
 	up, gone := make(chan outcome, 1), make(chan struct{})
 	go func() {
-		e, err := Start(starting, cfg, log)
+		e, err := begin(starting, getenv, log)
 		up <- outcome{e, err}
 	}()
 	var e *Edge
@@ -82,23 +86,21 @@
 		select {
 		case o := <-up:
 			switch {
-			case leaves && errors.Is(o.err, context.Canceled):
+			case leaves && o.err != nil:
 				return nil // nobody was let in
 			case o.err != nil:
 				return o.err
 			}
 			e = o.edge
-			log.Info().Str("name", cfg.Name).Str("listen", cfg.Listen).Float64("cores", cfg.Limits.Cores).
-				Float64("memory_mb", cfg.Limits.MemoryMB).Int("sockets", cfg.Limits.Sockets).Msg("serving")
 			if moved {
-				e.reload(getenv)
+				e.reload()
 			}
 			if leaves {
 				leave()
 			}
 		case <-hup:
 			if moved = true; e != nil {
-				e.reload(getenv)
+				e.reload()
 			}
 		case <-term:
 			if leaves {
@@ -115,10 +117,37 @@
 	}
 }
 
+// begin reads the configuration and brings an ingress up with it.
+func begin(ctx context.Context, getenv func(string) string, log zerolog.Logger) (*Edge, error) {
+	var cfg *Config
+	reading, cancel := context.WithTimeout(ctx, loadFor)
+	defer cancel()
+	err := syserr.Retry(reading, syserr.Storage, func() (err error) {
+		cfg, err = Load(getenv)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	Confine(cfg)
+	e, err := start(ctx, cfg, func() (*Config, error) { return Load(getenv) }, log)
+	if err != nil {
+		return nil, err
+	}
+	log.Info().Str("name", cfg.Name).Str("listen", cfg.Listen).Float64("cores", cfg.Limits.Cores).
+		Float64("memory_mb", cfg.Limits.MemoryMB).Int("sockets", cfg.Limits.Sockets).Msg("serving")
+	return e, nil
+}
+
 // Start brings an ingress up. Clients are let in once the module stands and the known list is in force. The wait for a first
 // list ends with ctx, and so does the start then.
-func Start(ctx context.Context, c *Config, log zerolog.Logger) (_ *Edge, err error) {
-	e := &Edge{cfg: c, log: log, clock: core.NewClock(), ran: make(chan struct{}), first: make(chan struct{})}
+func Start(ctx context.Context, c *Config, log zerolog.Logger) (*Edge, error) {
+	return start(ctx, c, nil, log)
+}
+
+// start is Start with a way to read the configuration again, nil for none.
+func start(ctx context.Context, c *Config, load func() (*Config, error), log zerolog.Logger) (_ *Edge, err error) {
+	e := &Edge{cfg: c, log: log, clock: core.NewClock(), ran: make(chan struct{}), first: make(chan struct{}), reloads: make(chan struct{}, 1)}
 	b := plan.NewBudget(c.Limits, c.Terms.MostHeld, svc.MaxValue)
 	if e.loop, err = core.NewLoop(c.Terms.Settings, c.Seed, e.clock); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -175,6 +204,9 @@
 		return nil, err
 	}
 	e.run(func() { e.watch(parts) })
+	if load != nil {
+		e.run(func() { e.followConfiguration(parts, load) })
+	}
 	return e, nil
 }
 
@@ -211,14 +243,36 @@
 	}
 }
 
-// reload reads the configuration again. One that can't be used changes nothing.
-func (e *Edge) reload(getenv func(string) string) {
-	next, err := Load(getenv)
-	if err != nil {
-		e.log.Error().Err(err).Msg("the old configuration stands")
-		return
+// reload has the configuration read again, soon.
+func (e *Edge) reload() {
+	select {
+	case e.reloads <- struct{}{}:
+	default: // it is about to be
+	}
+}
+
+// followConfiguration reads the configuration again whenever reload asks for it, until ctx is over. One that can't be used
+// changes nothing.
+func (e *Edge) followConfiguration(ctx context.Context, load func() (*Config, error)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.reloads:
+		}
+		var next *Config
+		reading, cancel := context.WithTimeout(ctx, reloadFor)
+		err := syserr.Retry(reading, func(error) bool { return true }, func() (err error) {
+			next, err = load()
+			return err
+		})
+		cancel()
+		if err != nil {
+			e.log.Error().Err(err).Msg("the old configuration stands")
+			continue
+		}
+		e.Reload(next)
 	}
-	e.Reload(next)
 }
 
 // Reload takes a new configuration over: lists come from its discovery from now on. All else stands.
--- a/internal/edge/faults_test.go
+++ b/internal/edge/faults_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,10 +26,21 @@
 	t       *testing.T
 	process *exec.Cmd
 	addr    string
+	folder  string // of its configuration
 	config  string
 	log     *logBuffer
 }
 
+// configure writes the configuration, anew if there is one.
+func (f *faultyIngress) configure(p *platform) {
+	f.t.Helper()
+	var err error
+	f.config, err = standin.PlatformConfig(f.folder, f.addr, p.roster.Addr(), p.roster.List(), standin.PlatformSettings(0, 1))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 // logBuffer keeps what a process writes to its log.
 type logBuffer struct {
 	mu   sync.Mutex
@@ -50,18 +62,15 @@
 // startFaulty starts an ingress with these calls under supervision; at has faults in force from its first moment.
 func startFaulty(t *testing.T, p *platform, calls []faults.Call, at ...faults.Fault) *faultyIngress {
 	t.Helper()
-	f := &faultyIngress{t: t, addr: freeAddr(t), log: &logBuffer{}}
+	f := &faultyIngress{t: t, addr: freeAddr(t), log: &logBuffer{}, folder: t.TempDir()}
+	f.configure(p)
 	var err error
-	if f.config, err = standin.PlatformConfig(t.TempDir(), f.addr, p.roster.Addr(), p.roster.List(), standin.PlatformSettings(0, 1)); err != nil {
-		t.Fatal(err)
-	}
 	f.process = exec.Command(os.Args[0], "-test.run", "TestMain")
 	f.process.Env = append(os.Environ(), "EDGE_CONFIG="+f.config, "EDGE_CHILD=1")
 	f.process.Stderr = f.log
-	if f.Injector, err = faults.Start(f.process, calls...); err != nil {
+	if f.Injector, err = faults.Start(f.process, calls, at...); err != nil {
 		t.Fatal(err)
 	}
-	f.Set(at...)
 	t.Cleanup(func() {
 		_ = f.process.Process.Kill()
 		_ = f.process.Wait()
@@ -247,6 +256,48 @@
 	return list
 }
 
+// port is the port of an address.
+func port(t *testing.T, addr string) int {
+	t.Helper()
+	_, text, err := net.SplitHostPort(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// arrivals counts the commands that came to servers, by the request's id.
+type arrivals struct {
+	mu    sync.Mutex
+	times map[string]int
+	class map[string]string
+}
+
+// counting answers slowly, and counts.
+func (a *arrivals) counting(c net.Conn, s standin.Served) {
+	a.mu.Lock()
+	a.times[s.Words[2]]++
+	a.class[s.Words[2]] = s.Words[3]
+	a.mu.Unlock()
+	slowly(c, s)
+}
+
+// check fails the test if a request that must not run twice came twice.
+func (a *arrivals) check(t *testing.T) {
+	t.Helper()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, n := range a.times {
+		if n > 1 && strings.Contains(a.class[id], "c=pay") {
+			t.Errorf("request %s, which must not run twice, came to servers %d times", id, n)
+		}
+	}
+}
+
 func TestFailingAcceptEndsNoConnection(t *testing.T) {
 	withFaults(t, []faults.Call{faults.Accept}, 1, each(faults.Fault{Call: faults.Accept, Share: 0.3}, unix.ENFILE,
 		unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.EPERM, unix.ENETDOWN, unix.EHOSTUNREACH, unix.ETIMEDOUT)...)
@@ -294,3 +345,96 @@
 		faults.Fault{Call: faults.Getsockopt, Errno: unix.ENOBUFS, Share: 0.3},
 		faults.Fault{Call: faults.Dup, Errno: unix.EMFILE, Share: 0.3})
 }
+
+// A broken connection to a server shows as errors that Linux gives for a network that fails. What was out on it may have
+// run: a request that must not run twice fails then, and every request has its answer.
+func TestBrokenConnectionsToServersLoseAndRepeatNothing(t *testing.T) {
+	a := &arrivals{times: map[string]int{}, class: map[string]string{}}
+	p := newPlatform(t, 1, a.counting)
+	f := startFaulty(t, p, []faults.Call{faults.Read, faults.Write})
+	at := port(t, p.backends[0].Addr())
+	for _, call := range []faults.Call{faults.Read, faults.Write} {
+		for _, fault := range each(faults.Fault{Call: call, On: faults.Sockets, Port: at, Share: 0.05, Break: true}, unix.ETIMEDOUT,
+			unix.EHOSTUNREACH, unix.ECONNRESET, unix.EPIPE) {
+			f.Set(fault)
+			y := load(f.addr, 4, faultTime/2)
+			f.Set()
+			y.check(t, 0)
+		}
+	}
+	a.check(t)
+	load(f.addr, 3, faultTime/2).check(t, 1)
+}
+
+// The same on connections of clients: nobody else loses anything by it.
+func TestBrokenClientsHarmNobodyElse(t *testing.T) {
+	a := &arrivals{times: map[string]int{}, class: map[string]string{}}
+	p := newPlatform(t, 2, a.counting)
+	f := startFaulty(t, p, []faults.Call{faults.Read, faults.Write})
+	for _, call := range []faults.Call{faults.Read, faults.Write} {
+		for _, fault := range each(faults.Fault{Call: call, On: faults.Sockets, Port: port(t, f.addr), Share: 0.02, Break: true}, unix.ETIMEDOUT, unix.EHOSTUNREACH) {
+			before := f.Counts()[call]
+			f.Set(fault)
+			y := load(f.addr, 4, faultTime/2)
+			f.Set()
+			if broken := f.Counts()[call] - before; len(y.lost) > broken || y.wrong > 0 || len(y.unreachable) > 0 {
+				t.Errorf("%s broken %d times by %v: %d requests lost, %d wrong answers, %d connections not had", call, broken, fault.Errno,
+					len(y.lost), y.wrong, len(y.unreachable))
+			}
+		}
+	}
+	a.check(t)
+	load(f.addr, 3, faultTime/2).check(t, 1)
+}
+
+func TestStartsThoughCallsFailForAMoment(t *testing.T) {
+	calls := []faults.Call{faults.Socket, faults.Bind, faults.Setsockopt, faults.Open, faults.Read, faults.EpollCtl}
+	for _, fault := range []faults.Fault{
+		{Call: faults.Socket, Errno: unix.ENFILE}, {Call: faults.Socket, Errno: unix.ENOBUFS}, {Call: faults.Bind, Errno: unix.EADDRINUSE},
+		{Call: faults.Setsockopt, Errno: unix.ENOBUFS}, {Call: faults.Open, On: "config.json", Errno: unix.ENFILE},
+		{Call: faults.Open, On: "config.json", Errno: unix.EIO}, {Call: faults.Read, On: "config.json", Errno: unix.EIO},
+	} {
+		fault.Share, fault.Burst, fault.Pause = 1, 4*moment, time.Hour
+		f := startFaulty(t, newPlatform(t, 1, good), calls, fault)
+		if f.Counts()[fault.Call] == 0 {
+			t.Errorf("%s never failed by %v: the test shows nothing", fault.Call, fault.Errno)
+		}
+		load(f.addr, 2, moment).check(t, 1)
+	}
+}
+
+// SIGHUP while the file can't be read, or is read half written: it holds once it can be.
+func TestReloadsThoughTheFileCannotBeReadForAMoment(t *testing.T) {
+	for _, fault := range []faults.Fault{{Call: faults.Open, On: "config.json", Errno: unix.ENFILE}, {Call: faults.Read, On: "config.json", Errno: unix.EIO}, {}} {
+		p := newPlatform(t, 1, good)
+		f := startFaulty(t, p, []faults.Call{faults.Open, faults.Read})
+		next := newPlatform(t, 1, good)
+		f.configure(next)
+		whole, err := os.ReadFile(f.config)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if fault.Call != "" {
+			fault.Share = 1
+			f.Set(fault)
+		} else if err := os.WriteFile(f.config, whole[:len(whole)/2], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.process.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(4 * moment)
+		if len(next.roster.Calls()) > 0 {
+			t.Fatal("the new configuration was read: the test shows nothing")
+		}
+		f.Set()
+		if err := os.WriteFile(f.config, whole, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		back := time.Now()
+		until(t, "the new discovery is asked", func() bool { return len(next.roster.Calls()) > 0 })
+		if took := time.Since(back); took > time.Second {
+			t.Errorf("asked %v after the file could be read", took)
+		}
+	}
+}
--- a/internal/eventloop/group.go
+++ b/internal/eventloop/group.go
@@ -67,15 +67,24 @@
 // warnMost bounds the lines a second about single connections.
 const warnMost = 5
 
+// startFor is how long New waits for what the system is short of.
+const startFor = 2 * time.Second
+
 // New starts loops without connections.
 func New(h Handler, opt Options) (*Group, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), startFor)
+	defer cancel()
 	g := &Group{handler: h, log: opt.Log.Sample(&zerolog.BurstSampler{Burst: warnMost, Period: time.Second})}
 	size := opt.ReadBuffer
 	if size <= 0 {
 		size = readBuffer
 	}
 	for range max(1, opt.Loops) {
-		l, err := newLoop(g, size)
+		var l *Loop
+		err := syserr.Retry(ctx, syserr.Transient, func() (err error) {
+			l, err = newLoop(g, size)
+			return err
+		})
 		if err != nil {
 			for _, o := range g.loops {
 				o.release()
--- a/internal/faults/inject.go
+++ b/internal/faults/inject.go
@@ -57,14 +57,14 @@
 // Fault is a way for calls to fail.
 type Fault struct {
 	Call         Call
-	On           Target            // or a part of a file's path
-	Errno        unix.Errno        // the call fails so, and nothing of it is carried out
-	Break        bool              // the connection is broken as well, as an error of the network breaks it
-	Short        int               // of a read or a write on a socket: so many bytes at most are moved, in place of failing
-	Burst, Pause time.Duration     // calls fail for a burst, then none does for a pause, and so on; 0: they may fail at any time
-	Share        float64           // of the calls that match, 0 to 1, that fail
-	Times        int               // so many times in all; 0: without a bound
-	When         func(fd int) bool // nil: always
+	On           Target        // or a part of a file's path
+	Errno        unix.Errno    // the call fails so, and nothing of it is carried out
+	Break        bool          // the connection is broken as well, as an error of the network breaks it
+	Short        int           // of a read or a write on a socket: so many bytes at most are moved, in place of failing
+	Burst, Pause time.Duration // calls fail for a burst, then none does for a pause, and so on; 0: they may fail at any time
+	Share        float64       // of the calls that match, 0 to 1, that fail
+	Times        int           // so many times in all; 0: without a bound
+	Port         int           // of either end of a socket; 0: any
 }
 
 // Injector decides on each trapped call of one process. It is safe for concurrent use.
@@ -82,13 +82,14 @@
 	counts map[Call]int
 }
 
-func newInjector(listener, pid int) (*Injector, error) {
+func newInjector(listener, pid int, first []Fault) (*Injector, error) {
 	in := &Injector{listener: listener, pid: pid, done: make(chan struct{}), rng: rand.New(rand.NewPCG(1, 1)), counts: map[Call]int{}}
 	var err error
 	if in.pidfd, err = unix.PidfdOpen(pid, 0); err != nil {
 		unix.Close(listener)
 		return nil, fmt.Errorf("faults: %w", err)
 	}
+	in.Set(first...)
 	go func() {
 		defer close(in.done)
 		in.serve()
@@ -225,7 +226,7 @@
 		if whole := f.Burst + f.Pause; f.Burst > 0 && time.Since(in.setAt)%whole >= f.Burst {
 			continue
 		}
-		if f.On != Any && !strings.Contains(in.target(n, fd), string(f.On)) || f.When != nil && !f.When(fd) {
+		if f.On != Any && !strings.Contains(in.target(n, fd), string(f.On)) || f.Port != 0 && !in.hasPort(fd, f.Port) {
 			continue
 		}
 		if n.number == unix.SYS_FCNTL && n.args[1] != unix.F_DUPFD_CLOEXEC && n.args[1] != unix.F_DUPFD {
@@ -249,6 +250,23 @@
 	return path
 }
 
+// hasPort tells whether one end of a socket has the port.
+func (in *Injector) hasPort(fd, port int) bool {
+	own, err := unix.PidfdGetfd(in.pidfd, fd, 0)
+	if err != nil {
+		return false
+	}
+	defer unix.Close(own)
+	for _, name := range []func(int) (unix.Sockaddr, error){unix.Getsockname, unix.Getpeername} {
+		if at, err := name(own); err == nil {
+			if four, is := at.(*unix.SockaddrInet4); is && four.Port == port {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // pathMost bounds a path that is read from the process, bytes.
 const pathMost = 512
 
--- a/internal/faults/launch.go
+++ b/internal/faults/launch.go
@@ -111,8 +111,8 @@
 }
 
 // Start launches a command whose program calls Trap, with the named calls under the supervision of the Injector that it
-// returns. Until Set is called all calls go on as they are.
-func Start(cmd *exec.Cmd, calls ...Call) (*Injector, error) {
+// returns. The faults are in force from the first moment, until Set replaces them.
+func Start(cmd *exec.Cmd, calls []Call, first ...Fault) (*Injector, error) {
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, fmt.Errorf("faults: %w", err)
@@ -144,7 +144,7 @@
 		_ = cmd.Wait()
 		return nil, fmt.Errorf("faults: %w", err)
 	}
-	return newInjector(listener, cmd.Process.Pid)
+	return newInjector(listener, cmd.Process.Pid, first)
 }
 
 // receive takes a descriptor over a socket.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"cometpond/internal/config"
+	"cometpond/internal/syserr"
 	"cometpond/policy"
 )
 
@@ -72,8 +74,8 @@
 	if l.seal, err = newSealer(c.PeerKey, c.Me, len(c.Instances), uint64(time.Now().UnixNano())); err != nil {
 		return nil, err
 	}
-	if l.conn, err = net.ListenUDP("udp", l.addrs[c.Me]); err != nil {
-		return nil, fmt.Errorf("socket for other instances: %w", err)
+	if err = l.listen(l.addrs[c.Me]); err != nil {
+		return nil, err
 	}
 	return l, nil
 }
@@ -103,13 +105,34 @@
 	if err != nil {
 		return nil, fmt.Errorf("address for other instances: %w", err)
 	}
-	if l.conn, err = net.ListenUDP("udp", at); err != nil {
-		return nil, fmt.Errorf("socket for other instances: %w", err)
+	if err = l.listen(at); err != nil {
+		return nil, err
 	}
 	l.seal = p
 	return l, nil
 }
 
+// Times of tries after errors of the system.
+const (
+	listenFor = 2 * time.Second
+	readPause = time.Millisecond
+)
+
+// listen binds the socket. What is wanting for a moment is waited for, and so is an address that a process on its way out
+// still holds.
+func (l *Link) listen(at *net.UDPAddr) error {
+	ctx, cancel := context.WithTimeout(context.Background(), listenFor)
+	defer cancel()
+	err := syserr.Retry(ctx, func(err error) bool { return syserr.Local(err) || errors.Is(err, unix.EADDRINUSE) }, func() (err error) {
+		l.conn, err = net.ListenUDP("udp", at)
+		return err
+	})
+	if err != nil {
+		return fmt.Errorf("socket for other instances: %w", err)
+	}
+	return nil
+}
+
 // Tell sends a message to one instance, or to all others with policy.Broadcast; it never blocks.
 func (l *Link) Tell(instance int, data []byte) {
 	if instance == policy.Broadcast && l.all == nil {
@@ -170,8 +193,9 @@
 		n, source, err := l.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
-		} else if err != nil {
-			continue // an ICMP error of an earlier send
+		} else if err != nil { // an ICMP error of an earlier send, or the system is short of something
+			time.Sleep(readPause)
+			continue
 		}
 		l.mu.Lock()
 		from, message, err := l.seal.open(buf[:n], source, time.Now().UnixNano())
