--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"runtime"
