A log that cannot be written costs lines of the log and nothing else

What callers would see: with the reader of standard error gone the ingress dies of SIGPIPE at its next line; with a reader that has stopped, the first line that no longer fits holds up whoever logs, event loops included, and every request waits (8 of 8 clients had no answer in 3.5 s).

internal/logsink takes lines into a bounded queue and writes them on a goroutine of its own; what does not fit or fails is dropped and counted, and a broken pipe no longer ends the process. serve and edge use it; at the end 0.5 s are left for what waits.

Red before for 'its reader is gone' and 'nobody reads it', green now: TestLogThatCannotBeWrittenHarmsNobody; failing writes (ENOSPC, EIO) were harmless before as well.

--- a/cmd/cometpond/edge.go
+++ b/cmd/cometpond/edge.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"cometpond/internal/edge"
+	"cometpond/internal/logsink"
 )
 
 func edgeCommand(logger newLogger) *cobra.Command {
@@ -23,7 +24,9 @@
 			hup, term := make(chan os.Signal, 1), make(chan os.Signal, 1)
 			signal.Notify(hup, syscall.SIGHUP) // from the first moment: uncaught, both would end the process
 			signal.Notify(term, syscall.SIGTERM, os.Interrupt)
-			log, err := logger(c.ErrOrStderr())
+			sink := logsink.New(c.ErrOrStderr())
+			defer sink.Close(logFlush)
+			log, err := logger(sink)
 			if err != nil {
 				return err
 			}
--- a/cmd/cometpond/main.go
+++ b/cmd/cometpond/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
@@ -59,4 +60,7 @@
 // timeFormat tells events of one second apart.
 const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
 
+// logFlush is how long the last lines of the log may take at the end.
+const logFlush = 500 * time.Millisecond
+
 type newLogger func(io.Writer) (zerolog.Logger, error)
--- a/cmd/cometpond/serve.go
+++ b/cmd/cometpond/serve.go
@@ -11,6 +11,7 @@
 	"cometpond/internal/config"
 	"cometpond/internal/day"
 	"cometpond/internal/instance"
+	"cometpond/internal/logsink"
 )
 
 func serve(logger newLogger) *cobra.Command {
@@ -23,7 +24,9 @@
 		Example: "  cometpond serve examples/one.sexp\n  cometpond serve --log json /etc/cometpond.sexp",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			log, err := logger(c.ErrOrStderr())
+			sink := logsink.New(c.ErrOrStderr())
+			defer sink.Close(logFlush)
+			log, err := logger(sink)
 			if err != nil {
 				return err
 			}
