A failing accept no longer ends the gRPC front

Cause: bounded.Accept hands every error to the server, which ends for those that don't call themselves temporary.

It returns at the end of the listener alone now, and pauses for 1 to 50 ms after any other error; the address is waited for at the start as for the other front. The pause, Backoff, is one piece for loops, dials and this. Red before: TestFailingAcceptDoesNotEndTheFront.

--- a/internal/eventloop/group.go
+++ b/internal/eventloop/group.go
@@ -125,9 +125,7 @@
 		return err
 	}
 	var fd int
-	err = syserr.Retry(ctx, func(err error) bool {
-		return syserr.Local(err) || errors.Is(err, unix.EADDRINUSE)
-	}, func() error {
+	err = syserr.Retry(ctx, syserr.Busy, func() error {
 		fd, g.addr, err = listen(at)
 		return err
 	})
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -15,11 +15,9 @@
 
 // Times of tries after errors that pass.
 const (
-	firstAcceptPause = time.Millisecond
-	mostAcceptPause  = 50 * time.Millisecond
-	retryPause       = time.Millisecond // of a write or a registration that the system had no memory for
-	registerFor      = time.Second      // a connection that can't be watched for so long is closed
-	brokenWaitPause  = time.Millisecond // after an error of epoll_wait that no page tells of
+	retryPause      = time.Millisecond // of a write or a registration that the system had no memory for
+	registerFor     = time.Second      // a connection that can't be watched for so long is closed
+	brokenWaitPause = time.Millisecond // after an error of epoll_wait that no page tells of
 )
 
 const (
@@ -48,7 +46,7 @@
 	serial      int32
 	unwatched   []*Conn // whose events could not be set
 	listener    int     // 0: none
-	acceptPause time.Duration
+	acceptPause syserr.Backoff
 
 	mu      sync.Mutex
 	tasks   []func()
@@ -59,7 +57,7 @@
 }
 
 func newLoop(g *Group, size int) (*Loop, error) {
-	l := &Loop{group: g, buf: make([]byte, size), serial: firstSerial, acceptPause: firstAcceptPause}
+	l := &Loop{group: g, buf: make([]byte, size), serial: firstSerial}
 	var err error
 	if l.epoll, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
 		return nil, os.NewSyscallError("epoll_create1", err)
@@ -234,7 +232,7 @@
 	fd, _, err := syscall.Accept4(l.listener, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 	switch {
 	case err == nil:
-		l.acceptPause = firstAcceptPause
+		l.acceptPause.Reset()
 		l.assign(fd)
 	case err == unix.EAGAIN || err == unix.EINTR:
 	case syserr.Transient(err):
@@ -247,8 +245,7 @@
 
 // pauseAccept leaves the listener alone for a while: what a connection takes of this machine is short.
 func (l *Loop) pauseAccept(err error) {
-	pause := l.acceptPause
-	l.acceptPause = min(2*pause, mostAcceptPause)
+	pause := l.acceptPause.Next()
 	l.group.log.Warn().Err(os.NewSyscallError("accept4", err)).Dur("pause_ms", pause).Msg("no connections can be taken for now")
 	if l.control(unix.EPOLL_CTL_MOD, l.listener, 0, listenerSerial) == nil {
 		l.After(pause, func() { l.watchListener(unix.EPOLL_CTL_MOD) })
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
 
 	"cometpond/internal/config"
 	"cometpond/internal/syserr"
@@ -123,7 +122,7 @@
 func (l *Link) listen(at *net.UDPAddr) error {
 	ctx, cancel := context.WithTimeout(context.Background(), listenFor)
 	defer cancel()
-	err := syserr.Retry(ctx, func(err error) bool { return syserr.Local(err) || errors.Is(err, unix.EADDRINUSE) }, func() (err error) {
+	err := syserr.Retry(ctx, syserr.Busy, func() (err error) {
 		l.conn, err = net.ListenUDP("udp", at)
 		return err
 	})
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -33,6 +33,7 @@
 	"cometpond/internal/config"
 	"cometpond/internal/core"
 	pb "cometpond/internal/rpc/cometpondv1"
+	"cometpond/internal/syserr"
 )
 
 // Core is what this front needs of the core.
@@ -72,6 +73,9 @@
 	open                         atomic.Int64
 }
 
+// listenFor is how long Start waits for an address that it can't have at once.
+const listenFor = 2 * time.Second
+
 // Start listens and serves until Stop.
 func Start(c Core, opt Options) (*Server, error) {
 	s := &Server{opt: opt, core: c, drain: make(chan struct{}), health: health.NewServer()}
@@ -95,11 +99,17 @@
 	}
 	healthv1.RegisterHealthServer(s.server, s.health)
 	reflection.Register(s.server)
-	ln, err := net.Listen("tcp", opt.Listen)
+	ctx, cancel := context.WithTimeout(context.Background(), listenFor)
+	defer cancel()
+	var ln net.Listener
+	err := syserr.Retry(ctx, syserr.Busy, func() (err error) {
+		ln, err = net.Listen("tcp", opt.Listen)
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", opt.Listen, err)
 	}
-	s.ln = &bounded{Listener: ln, most: int64(opt.Connections), cut: &s.cut}
+	s.ln = &bounded{Listener: ln, most: int64(opt.Connections), cut: &s.cut, log: opt.Log}
 	s.served.Add(1)
 	go func() {
 		defer s.served.Done()
@@ -116,14 +126,22 @@
 	most int64
 	open atomic.Int64
 	cut  *atomic.Uint64
+	log  zerolog.Logger
 }
 
-// Accept returns the next connection for which there is room.
+// Accept returns the next connection for which there is room. It ends with the listener alone: the server would end with
+// any other error.
 func (b *bounded) Accept() (net.Conn, error) {
+	var pause syserr.Backoff
 	for {
 		c, err := b.Listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return nil, err
+		} else if err != nil {
+			wait := pause.Next()
+			b.log.Warn().Err(err).Dur("pause_ms", wait).Msg("a connection could not be taken")
+			time.Sleep(wait)
+			continue
 		}
 		if b.open.Add(1) <= b.most {
 			return &counted{Conn: c, open: &b.open}, nil
--- a/internal/syserr/syserr.go
+++ b/internal/syserr/syserr.go
@@ -1,5 +1,5 @@
 // Package syserr tells errors of system calls apart by what they say: that the call may be repeated, that this machine
-// could not do it just now, or that what it was made on is broken. It decides nothing else and has no I/O.
+// could not do it just now, or that what it was made on is broken; and makes calls again.
 package syserr
 
 import (
@@ -19,6 +19,10 @@
 	return Transient(err) || anyOf(err, unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENETDOWN, unix.EPERM, unix.EACCES)
 }
 
+// Busy tells that an address could not be listened on just now: this machine lacks something, or a process on its way out
+// still holds the address.
+func Busy(err error) bool { return Local(err) || anyOf(err, unix.EADDRINUSE) }
+
 // Storage tells that a file could not be read or written just now. The same call may succeed later.
 func Storage(err error) bool {
 	return Transient(err) || anyOf(err, unix.EIO, unix.ENOSPC, unix.EDQUOT, unix.EROFS)
