The kept list is written once the disk takes it, and read once it can be read

What callers would see under serve: after a write that failed for a moment (ENOSPC, EIO, ENFILE) the list on disk stays the old one until discovery has another change, so that a restart sends to servers that drain or are gone; after a read that failed for a moment an instance starts with no list.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"cometpond/internal/config"
+	"cometpond/internal/syserr"
 	"cometpond/policy"
 )
 
@@ -32,7 +34,7 @@
 	node  string
 	sink  Sink
 	log   zerolog.Logger
-	keep  *File
+	keep  *keeper // nil: no list is kept
 	state atomic.Pointer[State]
 }
 
@@ -48,7 +50,7 @@
 func NewClient(cfg config.Discovery, node string, sink Sink, log zerolog.Logger) *Client {
 	c := &Client{cfg: cfg, node: node, sink: sink, log: log}
 	if cfg.Keep != "" {
-		c.keep = &File{Path: cfg.Keep}
+		c.keep = &keeper{file: &File{Path: cfg.Keep}, log: log}
 	}
 	c.state.Store(&State{})
 	return c
@@ -63,12 +65,26 @@
 	c.state.Store(&s)
 }
 
+// restoreFor is how long a kept list that can't be read is tried again.
+const restoreFor = 2 * time.Second
+
 // Restore puts the list kept on disk in force, if there is one, and tells how old it is.
 func (c *Client) Restore(ctx context.Context) error {
 	if c.keep == nil {
 		return nil
 	}
-	version, at, a, err := c.keep.Load()
+	if err := c.keep.file.Clean(); err != nil {
+		c.log.Warn().Err(err).Msg("half-written lists could not be removed")
+	}
+	var version string
+	var at time.Time
+	var a *endpointv3.ClusterLoadAssignment
+	reading, cancel := context.WithTimeout(ctx, restoreFor)
+	defer cancel()
+	err := syserr.Retry(reading, syserr.Storage, func() (err error) {
+		version, at, a, err = c.keep.file.Load()
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -77,7 +93,7 @@
 	}
 	list, err := Servers(a)
 	if err != nil {
-		return fmt.Errorf("list kept in %s: %w", c.keep.Path, err)
+		return fmt.Errorf("list kept in %s: %w", c.cfg.Keep, err)
 	}
 	c.log.Info().Str("version", version).Int("boxes", len(list)).Dur("age", time.Since(at)).Msg("start with the list kept on disk")
 	c.change(func(s *State) { s.Version, s.Boxes = version, len(list) })
@@ -101,6 +117,15 @@
 
 // Run follows the list until ctx is over, from the servers in turn.
 func (c *Client) Run(ctx context.Context) {
+	if c.keep != nil {
+		var keeping sync.WaitGroup
+		defer keeping.Wait()
+		keeping.Add(1)
+		go func() {
+			defer keeping.Done()
+			c.keep.run(ctx)
+		}()
+	}
 	pause := leastBackoff
 	for i := 0; ctx.Err() == nil; i++ {
 		addr := c.cfg.Servers[i%len(c.cfg.Servers)]
@@ -160,9 +185,7 @@
 			heard, version = true, res.GetVersionInfo()
 			c.change(func(s *State) { s.Version, s.Boxes = version, len(list) })
 			if c.keep != nil {
-				if err := c.keep.Store(version, time.Now(), a); err != nil {
-					c.log.Warn().Err(err).Msg("list not kept on disk")
-				}
+				c.keep.keep(version, a)
 			}
 			c.log.Debug().Str("version", version).Int("boxes", len(list)).Msg("list in force")
 		}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,8 +1,11 @@
 package discovery_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -10,9 +13,11 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"cometpond/internal/config"
 	"cometpond/internal/discovery"
+	"cometpond/internal/faults"
 	"cometpond/internal/standin"
 	"cometpond/policy"
 )
@@ -54,6 +59,109 @@
 	}
 }
 
+// TestMain is also a client in a process of its own: with DISCOVERY_CHILD=restore it puts the list of DISCOVERY_KEEP in force
+// and prints how many boxes that has; with DISCOVERY_CHILD=ADDRESS it follows a server and keeps its list there.
+func TestMain(m *testing.M) {
+	faults.Trap()
+	keep := os.Getenv("DISCOVERY_KEEP")
+	switch child := os.Getenv("DISCOVERY_CHILD"); child {
+	case "":
+		os.Exit(m.Run())
+	case "restore":
+		s := &sink{}
+		err := discovery.NewClient(config.Discovery{Cluster: "boxes", Keep: keep}, "me", s, zerolog.Nop()).Restore(context.Background())
+		fmt.Println(len(s.last()), err)
+	default:
+		discovery.NewClient(config.Discovery{Servers: []string{child}, Cluster: "boxes", Keep: keep}, "me", &sink{}, zerolog.Nop()).Run(context.Background())
+	}
+}
+
+// inProcess starts this program as a client in a process of its own, with faults on its calls.
+func inProcess(t *testing.T, child, keep string, calls []faults.Call, at ...faults.Fault) (*faults.Injector, *exec.Cmd, *bytes.Buffer) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "DISCOVERY_CHILD="+child, "DISCOVERY_KEEP="+keep)
+	out := &bytes.Buffer{}
+	cmd.Stdout, cmd.Stderr = out, os.Stderr
+	in, err := faults.Start(cmd, calls, at...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		in.Wait()
+	})
+	return in, cmd, out
+}
+
+// A list that can't be written is written once it can be, without another list from discovery.
+func TestListIsKeptOnceTheDiskTakesIt(t *testing.T) {
+	for _, fault := range []faults.Fault{
+		{Call: faults.Write, On: "list.json", Errno: unix.ENOSPC}, {Call: faults.Fsync, On: "list.json", Errno: unix.EIO},
+		{Call: faults.Open, On: "list.json", Errno: unix.ENFILE}, {Call: faults.Rename, Errno: unix.EIO},
+	} {
+		e, err := standin.NewEDS("127.0.0.1:0", "boxes", list)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer e.Close()
+		keep := filepath.Join(t.TempDir(), "list.json")
+		fault.Share = 1
+		in, _, _ := inProcess(t, e.Addr(), keep, []faults.Call{fault.Call}, fault)
+		wait(t, func() bool { return len(e.Told()) == 1 && in.Counts()[fault.Call] > 0 })
+		if _, err := os.Stat(keep); err == nil {
+			t.Fatalf("kept though %s fails: the test shows nothing", fault.Call)
+		}
+		in.Set()
+		wait(t, func() bool { _, err := os.Stat(keep); return err == nil })
+		if entries, _ := os.ReadDir(filepath.Dir(keep)); len(entries) != 1 {
+			t.Errorf("%s: %d files beside the list", fault.Call, len(entries)-1)
+		}
+	}
+}
+
+// A list that can't be read for a moment is read when it can be.
+func TestKeptListIsReadThoughTheDiskFailsForAMoment(t *testing.T) {
+	keep := filepath.Join(t.TempDir(), "list.json")
+	e, err := standin.NewEDS("127.0.0.1:0", "boxes", list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	follow(t, e, &sink{}, keep)
+	wait(t, func() bool { return len(e.Told()) == 1 })
+	for _, fault := range []faults.Fault{{Call: faults.Open, Errno: unix.ENFILE}, {Call: faults.Open, Errno: unix.EIO}, {Call: faults.Read, Errno: unix.EIO}} {
+		fault.On, fault.Share, fault.Burst, fault.Pause = "list.json", 1, 300*time.Millisecond, time.Hour
+		in, cmd, out := inProcess(t, "restore", keep, []faults.Call{fault.Call}, fault)
+		if err := cmd.Wait(); err != nil {
+			t.Fatal(err)
+		}
+		if got := out.String(); got != "2 <nil>\n" || in.Counts()[fault.Call] == 0 {
+			t.Errorf("%s failing %d times by %v: %q", fault.Call, in.Counts()[fault.Call], fault.Errno, got)
+		}
+	}
+}
+
+// What a process that was killed left half written beside the list is removed, and nothing else.
+func TestHalfWrittenListIsRemoved(t *testing.T) {
+	folder := t.TempDir()
+	keep := filepath.Join(folder, "list.json")
+	for _, name := range []string{keep + ".new-123", keep + ".bak"} {
+		if err := os.WriteFile(name, []byte("{"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s := &sink{}
+	if err := discovery.NewClient(config.Discovery{Cluster: "boxes", Keep: keep}, "me", s, zerolog.Nop()).Restore(context.Background()); err != nil || s.last() != nil {
+		t.Errorf("%v, %v: want no list", err, s.last())
+	}
+	entries, err := os.ReadDir(folder)
+	if err != nil || len(entries) != 1 || entries[0].Name() != "list.json.bak" {
+		t.Errorf("%v %v, want list.json.bak alone", entries, err)
+	}
+}
+
 var list = []policy.Server{{ID: "127.0.0.1:1", Zone: "a", Cell: 1, Weight: 2, SinceS: 1700000000.5},
 	{ID: "127.0.0.1:2", Zone: "b", Weight: 1, State: policy.Draining}}
 
--- a/internal/discovery/file.go
+++ b/internal/discovery/file.go
@@ -43,6 +43,9 @@
 	return k.Version, k.At, a, nil
 }
 
+// besideSuffix marks files that a list is written to before it replaces the old one.
+const besideSuffix = ".new-"
+
 // Store replaces the list: written to the side, flushed to disk, then renamed over the old one.
 func (f *File) Store(version string, at time.Time, a *endpointv3.ClusterLoadAssignment) error {
 	text, err := protojson.Marshal(a)
@@ -53,18 +56,43 @@
 	if err != nil {
 		return fmt.Errorf("keep list: %w", err)
 	}
-	tmp, err := os.CreateTemp(filepath.Dir(f.Path), filepath.Base(f.Path)+".*")
-	if err != nil {
+	if err := f.replace(raw); err != nil {
 		return fmt.Errorf("keep list: %w", err)
 	}
-	defer os.Remove(tmp.Name()) // does nothing once it is renamed
-	_, err = tmp.Write(raw)
-	err = errors.Join(err, tmp.Sync(), tmp.Close())
-	if err == nil {
-		err = os.Rename(tmp.Name(), f.Path)
+	return nil
+}
+
+// replace puts a new text in the place of the file's.
+func (f *File) replace(text []byte) error {
+	beside, err := os.CreateTemp(filepath.Dir(f.Path), filepath.Base(f.Path)+besideSuffix+"*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(beside.Name()) // does nothing once it is renamed
+	_, err = beside.Write(text)
+	if err = errors.Join(err, beside.Sync(), beside.Close()); err != nil {
+		return err
+	}
+	if err := os.Rename(beside.Name(), f.Path); err != nil {
+		return err
 	}
+	return syncFolder(filepath.Dir(f.Path))
+}
+
+// syncFolder has the names in a folder outlast a crash of the machine.
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
 	if err != nil {
-		return fmt.Errorf("keep list: %w", err)
+		return err
 	}
-	return nil
+	return errors.Join(folder.Sync(), folder.Close())
+}
+
+// Clean removes what a process that was killed left half written beside the list.
+func (f *File) Clean() error {
+	left, err := filepath.Glob(f.Path + besideSuffix + "*")
+	for _, name := range left {
+		err = errors.Join(err, os.Remove(name))
+	}
+	return err
 }
