A soak of real ingresses under failing calls, signals in series and servers in trouble

Clients use their connections until these end. The judge sees sockets alone: lost (no, late, wrong or broken answers, sent on for who left), duplicate, drain, deadline, crash, ready. Times are not judged where the judge's own process, or a stopped ingress, stood still.

TestJudge: each rule is found where it is broken and nowhere else.

--- /dev/null
+++ b/internal/soak/deployment.go
@@ -0,0 +1,104 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// Class is a class of requests.
+type Class struct {
+	Name     string
+	Command  string
+	Keyed    bool
+	Unsafe   bool
+	Deadline time.Duration
+}
+
+// deployment is what a run's settings say.
+type deployment struct {
+	classes   []Class
+	ingresses int
+	sockets   int // descriptors of one ingress
+}
+
+// drawDeployment draws the classes' deadlines, short ones on every third run.
+func drawDeployment(rng *rand.Rand, crowd bool) deployment {
+	d := deployment{ingresses: 2 + rng.IntN(2), sockets: 1024}
+	if crowd {
+		d.sockets = 256
+	}
+	scale := 1.0
+	if rng.IntN(3) == 0 {
+		scale = 0.3
+	}
+	for _, c := range []Class{
+		{Name: "status", Command: "SVC.QUERY", Deadline: 1500 * time.Millisecond},
+		{Name: "order", Command: "SVC.SUBMIT", Keyed: true, Deadline: 2500 * time.Millisecond},
+		{Name: "pay", Command: "SVC.SUBMIT", Unsafe: true, Deadline: 2500 * time.Millisecond},
+	} {
+		c.Deadline = time.Duration(float64(c.Deadline) * scale).Round(time.Millisecond)
+		d.classes = append(d.classes, c)
+	}
+	return d
+}
+
+// A process is killed no sooner than the longest deadline, counted as 3 s at most, and 0.7 s after it was told to end.
+const (
+	countedMost = 3 * time.Second
+	killBehind  = 700 * time.Millisecond
+)
+
+func (d *deployment) killAfter() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range d.classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, countedMost) + killBehind
+}
+
+// settings is the settings object of one ingress.
+func (d *deployment) settings(me int) string {
+	effects := map[string]string{"status": `"retryable"`, "order": `"dedup","keyScope":"all","keyTtlS":5`, "pay": `"fragile"`}
+	var profiles []string
+	for _, c := range d.classes {
+		s := c.Deadline.Seconds()
+		profiles = append(profiles, fmt.Sprintf(`{"name":%q,"aimS":%.3f,"deadlineS":%.3f,"lateWorth":0.2,"worth":3,"effect":%s}`,
+			c.Name, s/2, s, effects[c.Name]))
+	}
+	return fmt.Sprintf(`{"balancers":%d,"me":%d,"myZone":"room-a","tickS":0.002,
+"familyInfo":{"maxUnits":4,"peerIntake":40},"feedback":{"fields":["svc_ms","cpu_share"],"how":"probe"},
+"limits":{"cancel":true,"connIdleS":15,"dialTimeoutS":0.25,"maxAttempts":3,"maxRetryAfterS":0.5,"mostHeld":20000,"multiplex":100,
+"parallelTries":true,"peerMessages":true,"probes":true,"retryAfter":true},
+"packages":[{"name":"basic","unitsPerS":1000000,"peakUnits":1000000,"pays":1,"excessCost":1}],
+"prices":{"crossZone":0.02},"profiles":[%s],
+"rules":{"answerSlackS":0.008,"askWithinS":10,"coldFrom":0.2,"coldS":15,"fallMultiple":2,"fallS":1.5,"stopSendingWithinS":2},
+"scoreParts":{"worstTenant":0.15}}`, d.ingresses, me, strings.Join(profiles, ","))
+}
+
+// configuration is where an ingress finds what it is told.
+type configuration struct {
+	folder, listen, peerListen string
+	peers                      []string
+}
+
+func (c *configuration) path() string { return filepath.Join(c.folder, "config.json") }
+
+// write replaces the file as a whole.
+func (c *configuration) write(name, discovery, known, settings string, sockets int, seed uint64) error {
+	peers := `"` + strings.Join(c.peers, `","`) + `"`
+	text := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":1.0,"memory_mb":96,"sockets":%d},
+"peer_listen":%q,"peers":[%s],"peers_all":"","known":%s,"settings":%s}`,
+		name, c.listen, discovery, seed, sockets, c.peerListen, peers, known, settings)
+	next := c.path() + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("soak: configuration: %w", err)
+	}
+	if err := os.Rename(next, c.path()); err != nil {
+		return fmt.Errorf("soak: configuration: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,278 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cometpond/internal/standin"
+)
+
+// Options are the settings of a run.
+type Options struct {
+	Seed    uint64
+	For     time.Duration
+	Crowd   bool             // idle clients fill the descriptors
+	Program func() *exec.Cmd // an ingress that reads EDGE_CONFIG, with its environment; its program calls faults.Trap
+	Folder  string           // for configurations
+}
+
+// Report is what came of a run.
+type Report struct {
+	Breaks       []Break
+	Sent, Served int
+	Failed       int      // calls that were made to fail
+	Events       []string // what happened when
+	Logs         []string // of the ingresses, their ends
+}
+
+// fleet is a run under way.
+type fleet struct {
+	deployment
+	seed    uint64
+	record  *Record
+	program func() *exec.Cmd
+	members []*ingress
+	end     time.Time
+	lastID  atomic.Uint64
+	work    sync.WaitGroup // troubles that go on by themselves
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	servers []*server // listed, in order of their start
+	gone    []*server // not listed any more, and serving on
+	drains  []pendingDrain
+	named   int
+}
+
+// pendingDrain is a drain that each ingress is told of by a version of the list.
+type pendingDrain struct {
+	server   string
+	versions [][2]uint64 // by ingress and discovery
+	at       time.Time
+}
+
+// Sizes of a fleet.
+const (
+	serversAtStart = 4
+	clientsEach    = 6 // of an ingress
+	crowdEach      = 200
+)
+
+// Run plays one run and judges it.
+func Run(o Options) (*Report, error) {
+	rng := rand.New(rand.NewPCG(o.Seed, 7))
+	f := &fleet{deployment: drawDeployment(rng, o.Crowd), seed: o.Seed, program: o.Program, rng: rng}
+	f.record = &Record{Crowd: o.Crowd, start: time.Now(), lives: make([][]*Life, f.ingresses)}
+	defer f.close()
+	for range serversAtStart {
+		if err := f.addServer(); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.begin(o.Folder); err != nil {
+		return nil, err
+	}
+	f.record.start = time.Now()
+	f.end = time.Now().Add(o.For)
+	err := f.play(o)
+	failed := f.stop()
+	f.resolveDrains()
+	r := &Report{Failed: failed, Events: f.record.events}
+	r.Breaks, r.Sent, r.Served = f.record.Judge()
+	for _, n := range f.members {
+		r.Logs = append(r.Logs, n.log.String())
+	}
+	return r, err
+}
+
+// play has clients ask while troubles come, until the end.
+func (f *fleet) play(o Options) error {
+	stopped := make(chan struct{})
+	var work sync.WaitGroup
+	work.Add(1)
+	go func() {
+		defer work.Done()
+		f.record.watchOwnStalls(stopped)
+	}()
+	var crowd []net.Conn
+	if o.Crowd {
+		crowd = f.crowd()
+	}
+	var clients sync.WaitGroup
+	for i := range clientsEach * f.ingresses {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			c := &client{fleet: f, rng: rand.New(rand.NewPCG(f.seed, uint64(100+i)))}
+			c.run()
+		}()
+	}
+	err := f.troubles()
+	clients.Wait()
+	f.work.Wait()
+	for _, c := range crowd {
+		c.Close()
+	}
+	close(stopped)
+	work.Wait()
+	return err
+}
+
+// begin starts all ingresses.
+func (f *fleet) begin(folder string) error {
+	var peers []string
+	for range f.ingresses {
+		addr, err := freeUDP()
+		if err != nil {
+			return err
+		}
+		peers = append(peers, addr)
+	}
+	for i := range f.ingresses {
+		n := &ingress{fleet: f, number: i}
+		f.members = append(f.members, n)
+		listen, err := freeTCP()
+		if err != nil {
+			return err
+		}
+		home := filepath.Join(folder, fmt.Sprint("n", i))
+		if err := os.MkdirAll(home, 0o700); err != nil {
+			return fmt.Errorf("soak: %w", err)
+		}
+		n.cfg = &configuration{folder: home, listen: listen, peerListen: peers[i], peers: peers}
+		for k := range n.roster {
+			if n.roster[k], err = standin.NewRoster(f.hosts(i)...); err != nil {
+				return err
+			}
+		}
+	}
+	errs := make([]error, len(f.members))
+	var work sync.WaitGroup
+	for i, n := range f.members {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			errs[i] = n.start()
+		}()
+	}
+	work.Wait()
+	return errors.Join(errs...)
+}
+
+// stop ends all processes, and tells how many calls were made to fail.
+func (f *fleet) stop() (failed int) {
+	for _, n := range f.members {
+		n.stop()
+	}
+	for _, n := range f.members {
+		failed += n.failed
+	}
+	return failed
+}
+
+func (f *fleet) close() {
+	for _, n := range f.members {
+		n.stop()
+	}
+	for _, s := range append(f.servers, f.gone...) {
+		s.close()
+	}
+}
+
+// over tells that clients begin no more requests.
+func (f *fleet) over() bool { return time.Now().After(f.end) }
+
+func (f *fleet) newID() string { return fmt.Sprintf("%016x", f.lastID.Add(1)) }
+
+// draw returns a number from 0 up to below n.
+func (f *fleet) draw(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.IntN(n)
+}
+
+// mark changes what the record holds.
+func (f *fleet) mark(change func()) {
+	f.record.mu.Lock()
+	defer f.record.mu.Unlock()
+	change()
+}
+
+// pick returns an ingress that the front sends clients to, and which of its processes runs; nil if there is none.
+func (f *fleet) pick(rng *rand.Rand) (*ingress, int) {
+	from := rng.IntN(len(f.members))
+	for k := range f.members {
+		n := f.members[(from+k)%len(f.members)]
+		n.mu.Lock()
+		ok, life := n.inFront && time.Now().After(n.outUntil), len(n.lives)-1
+		n.mu.Unlock()
+		if ok {
+			return n, life
+		}
+	}
+	return nil, 0
+}
+
+// crowd opens idle connections to every ingress.
+func (f *fleet) crowd() (list []net.Conn) {
+	for _, n := range f.members {
+		for range crowdEach {
+			if c, err := net.DialTimeout("tcp", n.cfg.listen, dialTimeout); err == nil {
+				list = append(list, c)
+			}
+		}
+	}
+	f.record.note("crowd: %d idle connections", len(list))
+	return list
+}
+
+// Stalls of this process of which times near them are not judged.
+const (
+	stallLook  = 10 * time.Millisecond
+	stallLeast = 30 * time.Millisecond
+)
+
+// watchOwnStalls notes when this process stood still: then what it saw may be older than it seems.
+func (r *Record) watchOwnStalls(stopped <-chan struct{}) {
+	tick := time.NewTicker(stallLook)
+	defer tick.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-stopped:
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		if now.Sub(last) > stallLook+stallLeast {
+			r.blur(Span{last, now.Add(stallLook)})
+		}
+		last = now
+	}
+}
+
+func freeTCP() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("soak: %w", err)
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+func freeUDP() (string, error) {
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return "", fmt.Errorf("soak: %w", err)
+	}
+	defer c.Close()
+	return c.LocalAddr().String(), nil
+}
--- /dev/null
+++ b/internal/soak/record_test.go
@@ -0,0 +1,75 @@
+package soak
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Each rule is found broken where it is, and nowhere else.
+func TestJudge(t *testing.T) {
+	start := time.Now()
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	pay := Class{Name: "pay", Unsafe: true}
+	status := Class{Name: "status"}
+	request := func(change func(*Request)) Request {
+		q := Request{ID: "1", Class: status, Sent: at(10), Deadline: at(11), EndedAt: at(10.5)}
+		change(&q)
+		return q
+	}
+	arrival := func(s, within float64) Arrival { return Arrival{ID: "1", Server: "s-1", At: at(s), WithinS: within} }
+	for _, c := range []struct {
+		name     string
+		request  Request
+		arrivals []Arrival
+		change   func(r *Record)
+		want     string // the rule that is broken, "" for none
+	}{
+		{"served", request(func(*Request) {}), []Arrival{arrival(10.1, 0.8)}, nil, ""},
+		{"another's value", request(func(q *Request) { q.End = Wrong }), nil, nil, "lost"},
+		{"no answer", request(func(q *Request) { q.End, q.EndedAt = Silent, at(12.6) }), nil, nil, "lost"},
+		{"late and worth nothing", request(func(q *Request) { q.EndedAt = at(11.5) }), nil, nil, ""},
+		{"too late", request(func(q *Request) { q.EndedAt = at(11.6) }), nil, nil, "lost"},
+		{"too late beside a stall", request(func(q *Request) { q.EndedAt = at(11.6) }), nil, func(r *Record) { r.blur(Span{at(11.1), at(11.2)}) }, ""},
+		{"ended while it was out", request(func(q *Request) { q.End = Ended }), []Arrival{arrival(10.1, 0.8)}, nil, "lost"},
+		{"ended unread", request(func(q *Request) { q.End = Ended }), nil, nil, "lost"},
+		{"ended unread on the way out", request(func(q *Request) { q.End = Ended }), nil, func(r *Record) { r.lives[0][0].Terminated = at(9) }, ""},
+		{"ended while it was out on the way out", request(func(q *Request) { q.End = Ended }), []Arrival{arrival(10.1, 0.8)},
+			func(r *Record) { r.lives[0][0].Terminated = at(9) }, "lost"},
+		{"ended by a kill", request(func(q *Request) { q.End = Ended }), []Arrival{arrival(10.1, 0.8)},
+			func(r *Record) { r.lives[0][0].Killed, r.lives[0][0].KilledAtOnce = at(10.4), true }, ""},
+		{"shut unread in a crowd", request(func(q *Request) { q.End, q.First = Ended, true }), nil, func(r *Record) { r.Crowd = true }, ""},
+		{"ended in a crowd, not its first", request(func(q *Request) { q.End = Ended }), nil, func(r *Record) { r.Crowd = true }, "lost"},
+		{"sent on at once", request(func(q *Request) { q.End = Left }), []Arrival{arrival(10.6, 0.3)}, nil, ""},
+		{"sent on for one who left", request(func(q *Request) { q.End = Left }), []Arrival{arrival(10.7, 0.3)}, nil, "lost"},
+		{"too long a deadline", request(func(*Request) {}), []Arrival{arrival(10.1, 1.2)}, nil, "deadline"},
+		{"unsafe, twice", request(func(q *Request) { q.Class = pay }), []Arrival{arrival(10.1, 0.8), arrival(10.2, 0.7)}, nil, "duplicate"},
+		{"safe, twice", request(func(*Request) {}), []Arrival{arrival(10.1, 0.8), arrival(10.2, 0.7)}, nil, ""},
+		{"unsafe, turned away once", request(func(q *Request) { q.Class = pay }),
+			[]Arrival{{ID: "1", Server: "s-1", At: at(10.1), WithinS: 0.8, Turned: true}, arrival(10.2, 0.7)}, nil, ""},
+		{"refused and had run", request(func(q *Request) { q.Class, q.End, q.Text = pay, Answered, "-BUSY 500" }), []Arrival{arrival(10.1, 0.8)}, nil, "lost"},
+		{"failed and had run", request(func(q *Request) { q.Class, q.End, q.Text = pay, Answered, "-ERR it may have run" }), []Arrival{arrival(10.1, 0.8)}, nil, ""},
+		{"before the drain's time", request(func(*Request) {}), []Arrival{arrival(10.1, 0.8)},
+			func(r *Record) { r.drains = []Drain{{"s-1", []time.Time{at(8.1)}}} }, ""},
+		{"after the drain's time", request(func(*Request) {}), []Arrival{arrival(10.1, 0.8)},
+			func(r *Record) { r.drains = []Drain{{"s-1", []time.Time{at(8)}}} }, "drain"},
+		{"never told", request(func(*Request) {}), []Arrival{arrival(10.1, 0.8)},
+			func(r *Record) { r.drains = []Drain{{"s-1", []time.Time{{}}}} }, ""},
+		{"crash", request(func(*Request) {}), nil, func(r *Record) { r.lives[0][0].Exited = errors.New("exit status 2") }, "crash"},
+		{"slow start", request(func(*Request) {}), nil, func(r *Record) { r.lives[0][0].ReadyAfter = 11 * time.Second }, "ready"},
+	} {
+		r := &Record{start: start, requests: []Request{c.request}, arrivals: c.arrivals, lives: [][]*Life{{{Started: start}}}}
+		if c.change != nil {
+			c.change(r)
+		}
+		breaks, sent, _ := r.Judge()
+		var got []string
+		for _, b := range breaks {
+			got = append(got, b.Rule)
+		}
+		if strings.Join(got, " ") != c.want || sent != 1 {
+			t.Errorf("%s: broken %q, want %q: %v", c.name, got, c.want, breaks)
+		}
+	}
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -38,6 +38,7 @@
 	changed chan struct{}
 	calls   []string
 	spoil   func(w http.ResponseWriter, r *http.Request) bool
+	told    map[uint64]time.Time // when each version was first written
 }
 
 // NewRoster serves a list at a free address of loopback.
@@ -46,7 +47,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("roster: %w", err)
 	}
-	r := &Roster{addr: ln.Addr().String(), seq: 1, hosts: hosts, changed: make(chan struct{})}
+	r := &Roster{addr: ln.Addr().String(), seq: 1, hosts: hosts, changed: make(chan struct{}), told: map[uint64]time.Time{}}
 	r.srv = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go func() { _ = r.srv.Serve(ln) }() // ends with Close
 	return r, nil
@@ -55,14 +56,27 @@
 // Addr is where it is reached.
 func (r *Roster) Addr() string { return r.addr }
 
-// Set replaces the list.
-func (r *Roster) Set(hosts ...PlatformHost) {
+// Set replaces the list, and returns its version.
+func (r *Roster) Set(hosts ...PlatformHost) (version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.seq++
 	r.hosts = hosts
 	close(r.changed)
 	r.changed = make(chan struct{})
+	return r.seq
+}
+
+// ToldAt is when a list of that version or a newer one was first written to a caller, false if none was.
+func (r *Roster) ToldAt(version uint64) (at time.Time, told bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for v, t := range r.told {
+		if v >= version && (!told || t.Before(at)) {
+			at, told = t, true
+		}
+	}
+	return at, told
 }
 
 // Spoil has f answer calls for which it returns true; nil for none.
@@ -103,18 +117,29 @@
 			return
 		}
 	}
-	_, _ = w.Write([]byte(r.List()))
+	r.mu.Lock()
+	version, text := r.seq, r.list()
+	if _, before := r.told[version]; !before {
+		r.told[version] = time.Now()
+	}
+	r.mu.Unlock()
+	_, _ = w.Write(text)
 }
 
 // List is the whole list as it is served.
 func (r *Roster) List() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return string(r.list())
+}
+
+// list is List with the lock held.
+func (r *Roster) list() []byte {
 	text, err := json.Marshal(map[string]any{"seq": r.seq, "whole": true, "hosts": r.hosts})
 	if err != nil {
 		panic(err) // the type has no part that can't be written
 	}
-	return string(text)
+	return text
 }
 
 // Served is a command that a PlatformBackend took.
