A look at a socket that fails is not made for ever, and an interrupted shutdown is made again

Read again after the loops were written: Conn.Unread repeated its look for as long as the system had no memory for it, and CloseWrite took any error for a connection that is gone, which closes it over unread bytes. A look is made ten times at most and says yes then, which keeps a client's connection and sends an attempt over another one; shutdown is made again. ENOSPC of epoll_ctl while dialing says nothing of the server.

--- a/internal/edge/faults_test.go
+++ b/internal/edge/faults_test.go
@@ -330,6 +330,11 @@
 		faults.Fault{Call: faults.Write, On: faults.Sockets, Short: 7, Share: 0.5})
 }
 
+func TestFailingLooksLoseNothing(t *testing.T) {
+	withFaults(t, []faults.Call{faults.Recvfrom}, 1,
+		each(faults.Fault{Call: faults.Recvfrom, On: faults.Sockets, Share: 0.5}, unix.EINTR, unix.ENOMEM)...)
+}
+
 func TestInterruptedWaitEndsNothing(t *testing.T) {
 	withFaults(t, []faults.Call{faults.EpollPwait}, 1, each(faults.Fault{Call: faults.EpollPwait, Share: 0.2}, unix.EINTR)...)
 }
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -125,10 +125,13 @@
 	c.watch()
 }
 
-// Unread tells whether something of the other end's lies unread, be it its end.
+// triesMost bounds how often a call that needs no waiting is made again at once.
+const triesMost = 10
+
+// Unread tells whether something of the other end's lies unread, be it its end. Where the system can't tell, it says yes.
 func (c *Conn) Unread() bool {
 	var one [1]byte
-	for {
+	for range triesMost {
 		_, _, err := unix.Recvfrom(c.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
 		case err == unix.EAGAIN:
@@ -137,11 +140,17 @@
 			return true
 		}
 	}
+	return true
 }
 
 // CloseWrite ends the sending side.
-func (c *Conn) CloseWrite() error {
-	return os.NewSyscallError("shutdown", unix.Shutdown(c.fd, unix.SHUT_WR))
+func (c *Conn) CloseWrite() (err error) {
+	for range triesMost {
+		if err = unix.Shutdown(c.fd, unix.SHUT_WR); !syserr.Transient(err) {
+			break
+		}
+	}
+	return os.NewSyscallError("shutdown", err)
 }
 
 // Send hands the system as much of b as it takes now, and tells how much that was. An error means that the connection is
--- a/internal/syserr/syserr.go
+++ b/internal/syserr/syserr.go
@@ -16,7 +16,8 @@
 
 // Local tells that a connection could not be opened for a reason on this machine's side: it says nothing of the other end.
 func Local(err error) bool {
-	return Transient(err) || anyOf(err, unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENETDOWN, unix.EPERM, unix.EACCES)
+	return Transient(err) || anyOf(err, unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENETDOWN, unix.EPERM, unix.EACCES,
+		unix.ENOSPC) // of epoll_ctl: this user watches as many descriptors as the system allows
 }
 
 // Busy tells that an address could not be listened on just now: this machine lacks something, or a process on its way out
--- a/internal/syserr/syserr_test.go
+++ b/internal/syserr/syserr_test.go
@@ -22,7 +22,7 @@
 		{io.EOF, false, false, false},
 		{unix.EINTR, true, true, true},
 		{&net.OpError{Op: "dial", Err: os.NewSyscallError("socket", unix.ENFILE)}, true, true, true},
-		{fmt.Errorf("kept: %w", &os.PathError{Op: "write", Path: "x", Err: unix.ENOSPC}), false, false, true},
+		{fmt.Errorf("kept: %w", &os.PathError{Op: "write", Path: "x", Err: unix.ENOSPC}), false, true, true},
 		{unix.EIO, false, false, true},
 		{os.NewSyscallError("connect", unix.EADDRNOTAVAIL), false, true, false},
 		{unix.ENETUNREACH, false, true, false},
