--- a/internal/edge/serve_test.go
+++ b/internal/edge/serve_test.go
@@ -565,18 +565,22 @@
 	}
 }
 
-// A bad start is told before anything listens.
+// A bad start is told before anything listens: an address that is not this machine's, of those kept for documentation, and
+// one on which another ingress listens.
 func TestBadStart(t *testing.T) {
-	// An address of documentation, which no machine has: one that is merely taken may be shared (front.Options.OneLoop).
-	path, err := standin.PlatformConfig(t.TempDir(), "192.0.2.1:6379", freeAddr(t), newPlatform(t, 1, good).roster.List(), standin.PlatformSettings(0, 1))
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg, err := Load(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := Start(context.Background(), cfg, zerolog.Nop()); err == nil || !strings.Contains(err.Error(), "listen") {
-		t.Errorf("an address that is not this machine's: %v", err)
+	p := newPlatform(t, 1, good)
+	_, taken := serving(t, p)
+	for _, listen := range []string{"192.0.2.1:6379", taken} {
+		path, err := standin.PlatformConfig(t.TempDir(), listen, freeAddr(t), p.roster.List(), standin.PlatformSettings(0, 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := Load(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Start(context.Background(), cfg, zerolog.Nop()); err == nil || !strings.Contains(err.Error(), "listen on "+listen) {
+			t.Errorf("listen on %s: %v", listen, err)
+		}
 	}
 }
