--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -1,8 +1,11 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
+	"slices"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -10,6 +13,170 @@
 	"cometpond/internal/eventloop"
 )
 
+// partLeast is what is left to clients at the end to take their last answers, and partMost how long it takes at most.
+const (
+	partLeast = 50 * time.Millisecond
+	partMost  = 100 * time.Millisecond
+)
+
+// part ends all connections: those with nothing open at once, then the others, too, whatever they have begun. It returns
+// once all clients have ended, or no longer wait for it.
+func (s *Server) part(ctx context.Context) {
+	s.Retire()
+	start := time.Now()
+	for s.open.Load() > 0 && time.Since(start) < partMost {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+		last := time.Since(start) > partLeast
+		s.each(func(l *loop) { l.part(last) })
+	}
+}
+
+// part ends the loop's connections that have nothing open, with last the others that are not owed an answer.
+func (l *loop) part(last bool) {
+	for k := range l.conns {
+		if k.idle() && !k.c.Unread() || last && !k.parked && k.waiting() == 0 {
+			l.act(k, l.finish(k, shuttingDown))
+		}
+	}
+}
+
+// lost forgets a connection that has ended and tells the core that nobody waits for its answers.
+func (l *loop) lost(k *conn) {
+	s := l.s
+	s.open.Add(^uint64(0))
+	k.closed = true
+	delete(l.conns, k)
+	l.lingered(k)
+	if k.strange > 0 || k.granted > 0 || k.waits {
+		s.leave(k)
+	}
+	var gone []*core.Call
+	for _, p := range k.queue[k.head:] {
+		if p.call.Front != nil && !p.done {
+			gone = append(gone, &p.call)
+		}
+	}
+	k.report(gone)
+	if len(gone) > 0 {
+		s.core.Gone(gone)
+	}
+	k.queue, k.head, k.in = nil, 0, nil
+}
+
+// sweep cuts connections whose command stays unfinished, or who never say who they are.
+func (l *loop) sweep() {
+	now, most := time.Now(), l.s.opt.Bounds.Partial
+	for len(l.lingering) > 0 && l.lingering[0].lingerTo < seconds() {
+		l.hurry()
+	}
+	open, leaves := int(l.s.open.Load()), l.s.opt.Crowd.Leaves
+	if l.s.retiring.Load() {
+		leaves = l.s.opt.Crowd.Retires
+	}
+	for k := range l.conns {
+		slow := !k.partial.IsZero() && now.Sub(k.partial) > most && !k.waits || k.client == nil && now.Sub(k.since) > most
+		switch {
+		case k.lingers || k.quit:
+		case slow && !k.parked && !k.congested:
+			l.s.cut.Add(1)
+			k.because(unfinishedCommand)
+			k.leaves() // answers that are awaited come first
+		case k.idle() && leaves(k.guest, seconds(), open) && !k.c.Unread():
+			l.act(k, l.finish(k, idleTooLong))
+		}
+	}
+}
+
+// idle tells whether a connection has nothing open: no command begun, and no answer awaited or not yet sent.
+func (k *conn) idle() bool { return k.settled() && len(k.in) == 0 }
+
+// settled tells whether all that a connection has asked is answered, and the answers are with the system.
+func (k *conn) settled() bool {
+	return !k.parked && k.waiting() == 0 && len(k.out) == 0 && !k.quit && !k.lingers
+}
+
+// evict closes the connection that gives way to a new one; false if none does.
+func (l *loop) evict() bool {
+	var out *conn
+	now, crowd := seconds(), l.s.opt.Crowd
+	for k := range l.conns {
+		k.guest.Begun = len(k.in) > 0
+		if k.settled() && (!k.guest.Begun || k.guest.Asked == 0) && crowd.Evictable(k.guest, now) &&
+			(out == nil || crowd.Before(k.guest, out.guest)) {
+			out = k
+		}
+	}
+	if out == nil {
+		return false
+	}
+	l.s.evicted.Add(1)
+	if l.act(out, l.finish(out, evictedForOther)); !out.closed && out.guest.Asked == 0 {
+		l.cut(out, evictedForOther) // nothing was sent there that a close could take back
+	}
+	return true
+}
+
+// Bounds of a lingering close.
+const (
+	lingerS     = 1.0       // seconds
+	lingerBytes = 256 << 10 // what still comes, bytes
+	lingerShare = 8         // one of so many connections may be at it
+)
+
+// finish ends a connection that has nothing open: its sending side at once, and the rest when the client has ended, too.
+// What comes meanwhile is thrown away. Closed at once, unread bytes would reset the connection, and with it answers that
+// are on their way; and a request that comes now was not read, so that its client sends it again elsewhere.
+func (l *loop) finish(k *conn, reason closeReason) eventloop.Action {
+	if k.lingers {
+		return eventloop.None
+	}
+	k.because(reason)
+	if k.c.CloseWrite() != nil {
+		return eventloop.Close
+	}
+	if k.strange > 0 || k.granted > 0 || k.waits {
+		l.s.leave(k)
+		k.strange, k.granted, k.waits = 0, 0, false
+	}
+	if k.parked {
+		k.parked = false
+		k.c.ResumeReading() // up to the client's end
+	}
+	k.lingers, k.in, k.partial, k.lingerTo = true, nil, time.Time{}, seconds()+lingerS
+	l.s.lingering.Add(1)
+	l.lingering = append(l.lingering, k)
+	// While this instance leaves nobody new needs the room.
+	for most := max(1, l.s.opt.Bounds.Connections/lingerShare); len(l.lingering) > most && !l.s.retiring.Load(); {
+		l.hurry()
+	}
+	return eventloop.None
+}
+
+// hurry closes the connection that has lingered the longest.
+func (l *loop) hurry() {
+	k := l.lingering[0]
+	l.lingered(k)
+	l.cut(k, lingeredTooLong)
+}
+
+// lingered takes a connection off those that linger.
+func (l *loop) lingered(k *conn) {
+	if i := slices.Index(l.lingering, k); i >= 0 {
+		l.lingering = slices.Delete(l.lingering, i, i+1)
+		l.s.lingering.Add(-1)
+	}
+}
+
+// leaves ends the connection once what it has asked is answered; nothing more is read.
+func (k *conn) leaves() {
+	k.quit, k.partial = true, time.Time{}
+	k.loop.act(k, k.pump())
+}
+
 // closeReason is why a client's connection ended.
 type closeReason string
 
--- a/internal/front/command.go
+++ b/internal/front/command.go
@@ -8,6 +8,36 @@
 	"cometpond/internal/resp"
 )
 
+// throttle asks for units alone: CL.THROTTLE key max_burst count_per_period period [quantity].
+func (k *conn) throttle(args [][]byte) {
+	if len(args) != 5 && len(args) != 6 {
+		k.arity(args[0])
+		return
+	}
+	quantity := int64(1)
+	for i, least := range []int64{0, 1, 1, 0} {
+		if i+2 == len(args) {
+			break
+		}
+		n, err := strconv.ParseInt(string(args[i+2]), 10, 64)
+		if err != nil || n < least {
+			name := []string{"max_burst", "count_per_period", "period", "quantity"}[i]
+			k.fail("ERR " + name + " is no whole number of " + strconv.FormatInt(least, 10) + " or more")
+			return
+		}
+		quantity = n
+	}
+	if len(args) == 5 {
+		quantity = 1
+	}
+	if most := k.loop.s.opt.Book.MostUnits(); quantity > int64(most) {
+		k.fail("ERR quantity is above " + strconv.Itoa(most) + ", the most of one request")
+		return
+	}
+	book := k.loop.s.opt.Book
+	k.ask(book.Limit(k.client, book.Throttle(), float64(quantity)))
+}
+
 const noAuth = "NOAUTH Authentication required."
 
 // command carries out one command: those of the connection itself here, all others by a ruling.
