--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"os/signal"
 	"sync/atomic"
@@ -32,9 +33,16 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
+	told := uint64(0)
 	for line := range w.queue {
 		if _, err := w.out.Write(line); err != nil {
 			w.dropped.Add(1)
+			continue
+		}
+		if n := w.dropped.Load(); n > told {
+			if _, err := fmt.Fprintf(w.out, "{\"level\":\"warn\",\"dropped\":%d,\"message\":\"lines of the log were dropped\"}\n", n); err == nil {
+				told = n
+			}
 		}
 	}
 }
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -45,6 +45,9 @@
 	if n := strings.Count(s.text.String(), "line\n"); n != queueLines+100-int(w.Dropped()) {
 		t.Errorf("%d lines written", n)
 	}
+	if !strings.Contains(s.text.String(), `"message":"lines of the log were dropped"`) {
+		t.Error("the log does not say that lines are missing")
+	}
 }
 
 func TestFailingWritesAreCounted(t *testing.T) {
