A repeat with a key begins within its window, whatever its connection takes to come up

What was checked: in the traces attempts are written up to 0.252 s after they are decided, where a connection has to be opened first; groups are compared for each attempt alike. The dial that is tried again after a local error makes such waits likelier.

policy.Timing has the time by which an attempt has to begin beside that for its answer; core, pool and links carry it to the write, where an attempt that is too late ends as not sent. The margin is 0.2 s (windowMargin) in place of 0.05.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -35,10 +35,10 @@
 	i int
 }
 
-func (a actions) Send(id, server string, timeoutS float64) {
+func (a actions) Send(id, server string, timing policy.Timing) {
 	l := a.w.Begin("FORWARD", a.i).ID("id", id).ID("backend", server)
-	if timeoutS != 0 {
-		l.Num("withinS", timeoutS)
+	if timing.AnswerS != 0 {
+		l.Num("withinS", timing.AnswerS)
 	}
 	l.End()
 }
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -239,8 +239,8 @@
 	p.mu.Unlock()
 }
 
-// Send starts an attempt. It is not written any more once withinS seconds are over.
-func (p *Pool) Send(a core.Attempt, name string, payload []byte, withinS float64) {
+// Send starts an attempt. It is not written any more once its time to begin is over.
+func (p *Pool) Send(a core.Attempt, name string, payload []byte, timing policy.Timing) {
 	b := p.box(name)
 	if b == nil {
 		p.core.Done(core.Result{Attempt: a, Status: policy.ConnectFailed})
@@ -249,7 +249,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := p.now()
-	b.conns.Send(now, a, payload, now+withinS)
+	b.conns.Send(now, a, payload, timing)
 }
 
 // Cancel gives an attempt up.
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -144,6 +144,9 @@
 	return core.Result{}
 }
 
+// within is the timing of an attempt that may be begun, and answered, for so many seconds.
+func within(s float64) policy.Timing { return policy.Timing{StartS: s, AnswerS: s} }
+
 func attempt(n int) core.Attempt { return core.Attempt{N: n} }
 
 func do(n int) []byte { return resp.AppendCommand(nil, "DO", fmt.Sprint(n)) }
@@ -156,7 +159,7 @@
 		status policy.Status
 	}{{"+OK\r\n", policy.OK}, {"*2\r\n:1\r\n$1\r\nx\r\n", policy.OK}, {"-ERR no such job\r\n", policy.OK}, {"-BUSY full\r\n", policy.Full},
 		{"-LOADING\r\n", policy.Full}, {"-TRYAGAIN later\r\n", policy.Error}, {"-INTERNAL oops\r\n", policy.Error}} {
-		p.Send(attempt(i), b.ln.Addr().String(), do(i), 10)
+		p.Send(attempt(i), b.ln.Addr().String(), do(i), within(10))
 		k := b.next(t)
 		_, _ = k.c.Write([]byte(c.reply))
 		want := ""
@@ -173,7 +176,7 @@
 	addr := b.ln.Addr().String()
 	p, s := setup(t, nil, addr)
 	for i := range 4 {
-		p.Send(attempt(i), addr, do(i), 10)
+		p.Send(attempt(i), addr, do(i), within(10))
 	}
 	conns := map[net.Conn][]string{}
 	for range 4 {
@@ -183,7 +186,7 @@
 	if len(conns) != 2 {
 		t.Fatalf("%d connections, want 2: %v", len(conns), conns)
 	}
-	p.Send(attempt(4), addr, do(4), 10)
+	p.Send(attempt(4), addr, do(4), within(10))
 	s.expect(t, 4, policy.Full, "")
 	for c, list := range conns {
 		for _, n := range list {
@@ -202,13 +205,13 @@
 	b := newPeerBox(t)
 	addr := b.ln.Addr().String()
 	p, s := setup(t, nil, addr)
-	p.Send(attempt(0), addr, do(0), 10)
+	p.Send(attempt(0), addr, do(0), within(10))
 	b.next(t).c.Close()
 	s.expect(t, 0, policy.Reset, "")
 	b.ln.Close()
-	p.Send(attempt(1), addr, do(1), 10)
+	p.Send(attempt(1), addr, do(1), within(10))
 	s.expect(t, 1, policy.ConnectFailed, "")
-	p.Send(attempt(2), "127.0.0.1:1", do(2), 10) // not on the list
+	p.Send(attempt(2), "127.0.0.1:1", do(2), within(10)) // not on the list
 	s.expect(t, 2, policy.ConnectFailed, "")
 }
 
@@ -217,19 +220,19 @@
 	b := newPeerBox(t)
 	addr := b.ln.Addr().String()
 	p, s := setup(t, func(o *Options) { o.Connections = 1 }, addr)
-	p.Send(attempt(0), addr, do(0), 10)
+	p.Send(attempt(0), addr, do(0), within(10))
 	k := b.next(t)
-	p.Send(attempt(1), addr, do(1), 10)
+	p.Send(attempt(1), addr, do(1), within(10))
 	b.next(t)
 	p.Cancel(attempt(0), addr)
-	p.Send(attempt(2), addr, do(2), 10) // the only connection is held up by the one given up
+	p.Send(attempt(2), addr, do(2), within(10)) // the only connection is held up by the one given up
 	s.expect(t, 2, policy.Full, "")
 	_, _ = k.c.Write([]byte("+zero\r\n+one\r\n"))
 	s.expect(t, 1, policy.OK, "+one\r\n")
 	if p.Counts().Late != 1 {
 		t.Errorf("%d late, want 1", p.Counts().Late)
 	}
-	p.Send(attempt(3), addr, do(3), 10) // and is free again
+	p.Send(attempt(3), addr, do(3), within(10)) // and is free again
 	k = b.next(t)
 	_, _ = k.c.Write([]byte("+three\r\n"))
 	s.expect(t, 3, policy.OK, "+three\r\n")
@@ -240,7 +243,7 @@
 	b := newPeerBox(t)
 	addr := b.ln.Addr().String()
 	p, _ := setup(t, nil, addr)
-	p.Send(attempt(0), addr, do(0), 10)
+	p.Send(attempt(0), addr, do(0), within(10))
 	k := b.next(t)
 	p.Cancel(attempt(0), addr)
 	_ = k.c.SetReadDeadline(time.Now().Add(20 * time.Second))
@@ -285,7 +288,7 @@
 	b := newPeerBox(t)
 	addr := b.ln.Addr().String()
 	p, s := setup(t, func(o *Options) { o.Dialect = Boxes{Name: "t", ByAnswer: true} }, addr)
-	p.Send(attempt(0), addr, do(0), 10)
+	p.Send(attempt(0), addr, do(0), within(10))
 	_, _ = b.next(t).c.Write([]byte("|1\r\n+util\r\n,0.5\r\n+OK\r\n"))
 	if r := s.expect(t, 0, policy.OK, "+OK\r\n"); r.Load == nil || r.Load.Util != 0.5 {
 		t.Fatalf("%+v", r.Load)
@@ -297,7 +300,7 @@
 	b := newPeerBox(t)
 	addr := b.ln.Addr().String()
 	p, s := setup(t, nil, addr)
-	p.Send(attempt(0), addr, do(0), 10)
+	p.Send(attempt(0), addr, do(0), within(10))
 	k := b.next(t)
 	p.Servers(nil, true)
 	_, _ = k.c.Write([]byte("+OK\r\n"))
@@ -314,7 +317,7 @@
 	b := newPeerBox(t)
 	addr := b.ln.Addr().String()
 	p, s := setup(t, nil, addr)
-	p.Send(attempt(0), addr, do(0), 10)
+	p.Send(attempt(0), addr, do(0), within(10))
 	k := b.next(t)
 	for i := range 1000 {
 		var list []policy.Server
@@ -352,14 +355,14 @@
 	addr := b.ln.Addr().String()
 	d := &lateDial{make(chan struct{})}
 	p, s := setup(t, func(o *Options) { o.DialContext = d.dial }, addr)
-	p.Send(attempt(0), addr, do(0), 10)
+	p.Send(attempt(0), addr, do(0), within(10))
 	p.Withdraw(attempt(0), addr)
 	s.expect(t, 0, policy.Moot, "")
-	p.Send(attempt(1), addr, do(1), 10)
+	p.Send(attempt(1), addr, do(1), within(10))
 	p.Cancel(attempt(1), addr)
 	close(d.let)
 	until(t, "the connections stand", func() bool { return p.Counts().Open == 2 })
-	p.Send(attempt(2), addr, do(2), 10)
+	p.Send(attempt(2), addr, do(2), within(10))
 	k := b.next(t)
 	if k.words[1] != "2" {
 		t.Fatalf("the box got %v, want attempt 2 alone", k.words)
@@ -446,7 +449,7 @@
 	addr := b.ln.Addr().String()
 	p, s := setup(t, func(o *Options) { o.Dialect, o.Connections, o.Pipeline = bare{}, 1, 1 }, addr)
 	large := make([]byte, b.roomOf(t)+1<<20)
-	p.Send(attempt(0), addr, large, 20)
+	p.Send(attempt(0), addr, large, within(20))
 	first := <-b.conns
 	if _, err := first.Read(make([]byte, 1)); err != nil { // it is on its way
 		t.Fatal(err)
@@ -489,14 +492,14 @@
 	p, s := setup(t, func(o *Options) { o.DialContext = d.dial })
 	p.Located(map[string]string{"box": old.ln.Addr().String()})
 	p.Servers([]policy.Server{{ID: "box"}}, true)
-	p.Send(attempt(0), "box", do(0), 20)
+	p.Send(attempt(0), "box", do(0), within(20))
 	p.Located(map[string]string{"box": now.ln.Addr().String()})
 	close(d.let)
 	k := now.next(t)
 	_, _ = k.c.Write([]byte("+OK\r\n"))
 	s.expect(t, 0, policy.OK, "+OK\r\n")
 	p.Located(map[string]string{"box": old.ln.Addr().String()})
-	p.Send(attempt(1), "box", do(1), 20)
+	p.Send(attempt(1), "box", do(1), within(20))
 	k = old.next(t)
 	_, _ = k.c.Write([]byte("+OK\r\n"))
 	s.expect(t, 1, policy.OK, "+OK\r\n")
@@ -504,3 +507,19 @@
 		t.Error("more was sent than two commands")
 	}
 }
+
+// A connection that comes up after the time in which a repeat may begin carries nothing to the box, though its answer would
+// still be awaited.
+func TestConnectionComesUpAfterTheWindow(t *testing.T) {
+	b := newPeerBox(t)
+	addr := b.ln.Addr().String()
+	d := &lateDial{make(chan struct{})}
+	p, s := setup(t, func(o *Options) { o.DialContext = d.dial }, addr)
+	p.Send(attempt(0), addr, do(0), policy.Timing{StartS: 0.05, AnswerS: 20})
+	time.Sleep(100 * time.Millisecond)
+	close(d.let)
+	s.expect(t, 0, policy.Moot, "")
+	if len(b.got) != 0 {
+		t.Error("the box got what could not begin any more")
+	}
+}
--- a/internal/backend/wire_test.go
+++ b/internal/backend/wire_test.go
@@ -41,7 +41,7 @@
 		}
 		for cut := 0; cut <= len(run); cut++ {
 			for i := range replies {
-				p.Send(attempt(i), addr, do(i), 10)
+				p.Send(attempt(i), addr, do(i), within(10))
 			}
 			var k command
 			for range replies {
@@ -66,8 +66,8 @@
 	p, s := setup(t, func(o *Options) { o.Connections, o.Pipeline = 1, 10 }, addr)
 	for n, size := range []int{0, 4095, 65_536, 100_000, 400_000, mostReply} {
 		arg := strings.Repeat("y", min(size, 512<<10))
-		p.Send(attempt(n), addr, resp.AppendCommand(nil, "DO", arg), 10)
-		p.Send(attempt(100+n), addr, do(n), 10)
+		p.Send(attempt(n), addr, resp.AppendCommand(nil, "DO", arg), within(10))
+		p.Send(attempt(100+n), addr, do(n), within(10))
 		k := b.next(t)
 		if len(k.words) != 2 || k.words[1] != arg {
 			t.Fatalf("size %d: the box got another command", size)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -16,9 +16,10 @@
 
 // Backend carries attempts to boxes. Its methods are called by the core's goroutine and must not block.
 // Each Send ends in one Loop.Done, unless it was cancelled; each Probe in one Loop.Probed. What could not be
-// written within withinS seconds is not written any more, and ends as policy.ConnectFailed.
+// written in its time is not written any more, and ends as policy.ConnectFailed, or as policy.Moot if its answer might
+// still be awaited.
 type Backend interface {
-	Send(a Attempt, box string, payload []byte, withinS float64)
+	Send(a Attempt, box string, payload []byte, timing policy.Timing)
 	Cancel(a Attempt, box string)
 	Withdraw(a Attempt, box string) // what was not written ends as policy.Moot, what was goes on
 	Probe(box string)
@@ -422,8 +423,8 @@
 // effects is the Loop as its Machine sees it.
 type effects Loop
 
-func (l *effects) Send(a Attempt, box string, payload []byte, withinS float64) {
-	l.backend.Send(a, box, payload, withinS)
+func (l *effects) Send(a Attempt, box string, payload []byte, timing policy.Timing) {
+	l.backend.Send(a, box, payload, timing)
 }
 func (l *effects) Cancel(a Attempt, box string) { l.backend.Cancel(a, box) }
 func (l *effects) Withdraw(a Attempt, box string) {
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -94,9 +94,9 @@
 
 // Effects is what a Machine wants done. Calls come while one of its event methods runs.
 type Effects interface {
-	Send(a Attempt, box string, payload []byte, withinS float64) // written within this time or not at all
-	Cancel(a Attempt, box string)                                // its answer will be ignored
-	Withdraw(a Attempt, box string)                              // what was not written ends as policy.Moot, what was goes on
+	Send(a Attempt, box string, payload []byte, timing policy.Timing) // written within this time or not at all
+	Cancel(a Attempt, box string)                                     // its answer will be ignored
+	Withdraw(a Attempt, box string)                                   // what was not written ends as policy.Moot, what was goes on
 	Probe(box string)
 	Tell(instance int, data []byte)
 	Answered(c *Call)
@@ -716,7 +716,7 @@
 type actions Machine
 
 // Send starts an attempt.
-func (a *actions) Send(id, server string, timeoutS float64) {
+func (a *actions) Send(id, server string, timing policy.Timing) {
 	m := (*Machine)(a)
 	i, s := m.find(id)
 	if s == nil {
@@ -734,9 +734,10 @@
 	if s.entry != nil {
 		m.keys.Sent(m.now, s.entry, server)
 	}
-	m.at(min(m.now+timeoutS, s.deadline), timer{kind: timeout, slot: i, gen: s.gen, n: n})
-	m.noteAttempt(AttemptSent, s, n, policy.OK, timeoutS)
-	m.fx.Send(Attempt{i, s.gen, n}, server, s.payload, min(timeoutS, s.deadline-m.now))
+	timing.AnswerS = min(timing.AnswerS, s.deadline-m.now)
+	m.at(m.now+timing.AnswerS, timer{kind: timeout, slot: i, gen: s.gen, n: n})
+	m.noteAttempt(AttemptSent, s, n, policy.OK, timing.AnswerS)
+	m.fx.Send(Attempt{i, s.gen, n}, server, s.payload, timing)
 }
 
 // Refuse is the final answer that trying again is harmless.
--- a/internal/core/machine_test.go
+++ b/internal/core/machine_test.go
@@ -51,7 +51,7 @@
 	return &world{cancelled: map[Attempt]bool{}, withdrawn: map[Attempt]bool{}, answers: map[*Call][]Answer{}}
 }
 
-func (w *world) Send(a Attempt, box string, payload []byte, withinS float64) {
+func (w *world) Send(a Attempt, box string, payload []byte, _ policy.Timing) {
 	w.sent = append(w.sent, sentTo{a: a, box: box})
 }
 func (w *world) Cancel(a Attempt, box string) { w.cancelled[a] = true }
@@ -379,7 +379,7 @@
 
 type countingActions struct{ n int }
 
-func (c *countingActions) Send(string, string, float64)           { c.n++ }
+func (c *countingActions) Send(string, string, policy.Timing)     { c.n++ }
 func (c *countingActions) Refuse(string, float64, policy.Refusal) { c.n++ }
 func (c *countingActions) Fail(string)                            { c.n++ }
 func (c *countingActions) Admit(string)                           { c.n++ }
@@ -391,12 +391,12 @@
 
 type discard struct{}
 
-func (discard) Send(Attempt, string, []byte, float64) {}
-func (discard) Cancel(Attempt, string)                {}
-func (discard) Withdraw(Attempt, string)              {}
-func (discard) Probe(string)                          {}
-func (discard) Tell(int, []byte)                      {}
-func (discard) Answered(*Call)                        {}
+func (discard) Send(Attempt, string, []byte, policy.Timing) {}
+func (discard) Cancel(Attempt, string)                      {}
+func (discard) Withdraw(Attempt, string)                    {}
+func (discard) Probe(string)                                {}
+func (discard) Tell(int, []byte)                            {}
+func (discard) Answered(*Call)                              {}
 
 // After a stall a call's time counts from when it may have been sent: what is over is refused and never sent.
 func TestTimeOverBeforeItWasLookedAt(t *testing.T) {
@@ -424,8 +424,8 @@
 
 type quiet struct{ *world }
 
-func (q quiet) Send(a Attempt, box string, payload []byte, withinS float64) {
-	q.world.Send(a, box, payload, withinS)
+func (q quiet) Send(a Attempt, box string, payload []byte, timing policy.Timing) {
+	q.world.Send(a, box, payload, timing)
 }
 func (quiet) Servers([]policy.Server, bool) {}
 
--- a/internal/day/sabotage.go
+++ b/internal/day/sabotage.go
@@ -113,8 +113,8 @@
 	rooms *rooms
 }
 
-func (d *doubler) Send(a core.Attempt, box string, payload []byte, withinS float64) {
-	d.Backend.Send(a, box, payload, withinS)
+func (d *doubler) Send(a core.Attempt, box string, payload []byte, timing policy.Timing) {
+	d.Backend.Send(a, box, payload, timing)
 	d.rooms.mu.Lock()
 	defer d.rooms.mu.Unlock()
 	zone := ""
@@ -126,7 +126,7 @@
 	for _, s := range d.rooms.list {
 		if s.Zone != zone && s.State == policy.Up && s.SinceS == 0 { // a cold one might fall over: another rule
 			a.N += 100 // no attempt that the core knows: its answer is late
-			d.Backend.Send(a, s.ID, payload, withinS)
+			d.Backend.Send(a, s.ID, payload, timing)
 			return
 		}
 	}
@@ -154,7 +154,7 @@
 	rooms *rooms
 }
 
-func (c *crowd) Send(a core.Attempt, box string, payload []byte, withinS float64) {
+func (c *crowd) Send(a core.Attempt, box string, payload []byte, timing policy.Timing) {
 	c.rooms.mu.Lock()
 	newest, since := "", float64(time.Now().UnixNano())/1e9-8
 	for _, s := range c.rooms.list {
@@ -166,5 +166,5 @@
 	if newest != "" {
 		box = newest
 	}
-	c.Backend.Send(a, box, payload, withinS)
+	c.Backend.Send(a, box, payload, timing)
 }
--- a/internal/instance/measure_test.go
+++ b/internal/instance/measure_test.go
@@ -114,7 +114,7 @@
 
 type silent struct{}
 
-func (silent) Send(string, string, float64)           {}
+func (silent) Send(string, string, policy.Timing)     {}
 func (silent) Refuse(string, float64, policy.Refusal) {}
 func (silent) Fail(string)                            {}
 func (silent) Admit(string)                           {}
--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -63,7 +63,8 @@
 type flight struct {
 	attempt core.Attempt
 	payload []byte
-	until   float64 // not to be written after this time
+	startBy float64 // not to be written after this time
+	until   float64 // its answer is of no use after this time
 	link    *Link
 	setup   bool
 	dead    bool
@@ -80,10 +81,9 @@
 func (b *Box) Bound(connections int) { b.lim.Connections = max(1, connections) }
 
 // Send starts an attempt: over an idle connection, else a new one, else one that rests, else in line behind the
-// fewest. With no room at all it ends at once as Full: the box has not seen it. Until is the time after which it is
-// not written any more.
-func (b *Box) Send(now float64, a core.Attempt, payload []byte, until float64) {
-	f := &flight{attempt: a, payload: payload, until: until}
+// fewest. With no room at all it ends at once as Full: the box has not seen it.
+func (b *Box) Send(now float64, a core.Attempt, payload []byte, timing policy.Timing) {
+	f := &flight{attempt: a, payload: payload, startBy: now + min(timing.StartS, timing.AnswerS), until: now + timing.AnswerS}
 	b.flights[a] = f
 	b.place(now, f)
 }
@@ -163,7 +163,7 @@
 		return 0, false // its connection has ended
 	}
 	f := l.flights[i]
-	if !f.dead && now <= f.until && !b.drains {
+	if !f.dead && now <= f.startBy && !b.drains {
 		f.written, f.end = true, math.MaxInt64
 		return f.until - now, true
 	}
@@ -171,7 +171,7 @@
 	switch {
 	case f.dead:
 		l.dead--
-	case b.drains:
+	case b.drains || now <= f.until: // the box is not to blame
 		delete(b.flights, a)
 		b.fx.End(a, policy.Moot)
 	default:
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -18,6 +18,11 @@
 	}
 }
 
+// till is the timing of an attempt that may be begun, and answered, until then.
+func till(now, until float64) policy.Timing {
+	return policy.Timing{StartS: until - now, AnswerS: until - now}
+}
+
 // wire records what a box wants done.
 type wire struct {
 	dials   int
@@ -53,13 +58,13 @@
 	w := newWire()
 	b := New(Limits{Connections: 2, Pipeline: 2}, w)
 	for n := range 4 {
-		b.Send(0, at(n), []byte{byte(n)}, 10)
+		b.Send(0, at(n), []byte{byte(n)}, till(0, 10))
 	}
 	x, y := b.Opened(0, nil, 1), b.Opened(0, nil, 1)
 	if w.dials != 2 || len(w.written[x])+len(w.written[y]) != 4 {
 		t.Fatalf("%d dials, written %v and %v", w.dials, w.written[x], w.written[y])
 	}
-	b.Send(0, at(4), []byte{4}, 10)
+	b.Send(0, at(4), []byte{4}, till(0, 10))
 	if w.ended[4] != policy.Full {
 		t.Fatalf("beyond the bounds: %v", w.ended)
 	}
@@ -69,9 +74,9 @@
 func TestClosesBehindTheLastLiveAnswer(t *testing.T) {
 	w := newWire()
 	b := New(Limits{Connections: 1, Pipeline: 2}, w)
-	b.Send(0, at(0), []byte{0}, 10)
+	b.Send(0, at(0), []byte{0}, till(0, 10))
 	l := b.Opened(0, nil, 0)
-	b.Send(0, at(1), []byte{1}, 10)
+	b.Send(0, at(1), []byte{1}, till(0, 10))
 	b.Cancel(at(1))
 	if len(w.closing) != 0 {
 		t.Fatal("closed under a live attempt")
@@ -96,7 +101,7 @@
 			switch rapid.IntRange(0, 6).Draw(t, "event") {
 			case 0, 1:
 				if sent < 200 {
-					b.Send(0, at(sent), []byte{byte(sent)}, 10)
+					b.Send(0, at(sent), []byte{byte(sent)}, till(0, 10))
 					sent++
 				}
 			case 2:
@@ -204,11 +209,11 @@
 func TestTooLateToWrite(t *testing.T) {
 	w := newWire()
 	b := New(Limits{Connections: 1, Pipeline: 8}, w)
-	b.Send(0, at(0), []byte{0}, 10)
+	b.Send(0, at(0), []byte{0}, till(0, 10))
 	l := b.Opened(0, nil, 1)
 	for n, until := range []float64{1: 10, 2: 14.5, 3: 14.5, 4: 14.5} {
 		if n > 0 {
-			b.Send(0, at(n), []byte{byte(n)}, until)
+			b.Send(0, at(n), []byte{byte(n)}, till(0, until))
 		}
 	}
 	b.Cancel(at(2))
@@ -228,7 +233,7 @@
 			t.Fatalf("%v %v, want %v", a, k, want)
 		}
 	}
-	b.Send(0, at(5), []byte{5}, 20)
+	b.Send(0, at(5), []byte{5}, till(0, 20))
 	b.Closed(0, l, math.MaxInt64)
 	if _, ended := w.ended[5]; writing(b, 14, l, 5) || ended || w.dials != 2 {
 		t.Error("what was never written has an end, or no new connection")
@@ -247,21 +252,21 @@
 func TestRestsAfterAnAnswer(t *testing.T) {
 	w := newWire()
 	b := New(Limits{Connections: 2, Pipeline: 1, RestS: 1}, w)
-	b.Send(0, at(0), []byte{0}, 10)
+	b.Send(0, at(0), []byte{0}, till(0, 10))
 	x := b.Opened(0, nil, 0)
 	b.Answered(2, x)
-	b.Send(2.5, at(1), []byte{1}, 10)
+	b.Send(2.5, at(1), []byte{1}, till(2.5, 10))
 	if w.dials != 2 || len(w.written[x]) != 1 {
 		t.Fatalf("used while it rests: %d dials, written %v", w.dials, w.written[x])
 	}
 	y := b.Opened(2.5, nil, 0)
-	b.Send(2.6, at(2), []byte{2}, 10)
+	b.Send(2.6, at(2), []byte{2}, till(2.6, 10))
 	if len(w.written[x]) != 2 {
 		t.Fatalf("no other can be had, and it is not used: %v", w.written[x])
 	}
 	b.Answered(2.7, x)
 	b.Answered(2.7, y)
-	b.Send(4, at(3), []byte{3}, 10)
+	b.Send(4, at(3), []byte{3}, till(4, 10))
 	if w.dials != 2 || len(w.written[x]) != 3 {
 		t.Fatalf("rested and not used: %d dials, written %v", w.dials, w.written[x])
 	}
@@ -271,12 +276,12 @@
 func TestStaleBeforeWriting(t *testing.T) {
 	w := newWire()
 	b := New(Limits{Connections: 1, Pipeline: 2}, w)
-	b.Send(0, at(0), []byte{0}, 10)
+	b.Send(0, at(0), []byte{0}, till(0, 10))
 	x := b.Opened(0, nil, 0)
 	if !writing(b, 0, x, 0) {
 		t.Fatal("not written")
 	}
-	b.Send(0, at(1), []byte{1}, 10)
+	b.Send(0, at(1), []byte{1}, till(0, 10))
 	if b.Stale(0, x, 1) {
 		t.Fatal("stale under an attempt that is out: its answer may be what has come")
 	}
@@ -295,9 +300,9 @@
 func TestDrains(t *testing.T) {
 	w := newWire()
 	b := New(Limits{Connections: 2, Pipeline: 1}, w)
-	b.Send(0, at(0), []byte{0}, 10)
+	b.Send(0, at(0), []byte{0}, till(0, 10))
 	x := b.Opened(0, nil, 0)
-	b.Send(0, at(1), []byte{1}, 10) // waits for the second connection
+	b.Send(0, at(1), []byte{1}, till(0, 10)) // waits for the second connection
 	b.Drain()
 	if w.ended[1] != policy.Moot {
 		t.Fatalf("what waits for a connection: %v", w.ended)
@@ -305,14 +310,14 @@
 	if writing(b, 0, x, 0) || w.ended[0] != policy.Moot {
 		t.Fatalf("what stands in line: %v", w.ended)
 	}
-	if b.Send(0, at(2), []byte{2}, 10); w.ended[2] != policy.Moot {
+	if b.Send(0, at(2), []byte{2}, till(0, 10)); w.ended[2] != policy.Moot {
 		t.Fatalf("what is sent later: %v", w.ended)
 	}
 	b.Opened(0, nil, 0)
 	if b.Listed(); w.dials != 2 {
 		t.Fatalf("%d dials", w.dials)
 	}
-	b.Send(0, at(3), []byte{3}, 10)
+	b.Send(0, at(3), []byte{3}, till(0, 10))
 	if !writing(b, 0, x, 3) {
 		t.Fatal("listed again and not used")
 	}
@@ -322,14 +327,14 @@
 func TestIdleConnectionsGo(t *testing.T) {
 	w := newWire()
 	b := New(Limits{Connections: 1, Pipeline: 1, IdleS: 5}, w)
-	b.Send(0, at(0), []byte{0}, 100)
+	b.Send(0, at(0), []byte{0}, till(0, 100))
 	x := b.Opened(0, nil, 0)
 	b.Sweep(20) // out: not idle
 	b.Answered(20, x)
 	if b.Sweep(24); len(w.closing) != 0 {
 		t.Fatal("closed early")
 	}
-	b.Send(25.5, at(1), []byte{1}, 100)
+	b.Send(25.5, at(1), []byte{1}, till(25.5, 100))
 	if len(w.closing) != 1 || len(w.written[x]) != 1 {
 		t.Fatalf("written to a connection about to end: %v, %d closed", w.written[x], len(w.closing))
 	}
@@ -342,9 +347,9 @@
 func TestDialFailsBesideABusyConnection(t *testing.T) {
 	w := newWire()
 	b := New(Limits{Connections: 2, Pipeline: 1}, w)
-	b.Send(0, at(0), []byte{0}, 10)
+	b.Send(0, at(0), []byte{0}, till(0, 10))
 	b.Opened(0, nil, 0)
-	b.Send(0, at(1), []byte{1}, 10)
+	b.Send(0, at(1), []byte{1}, till(0, 10))
 	if b.DialFailed(0.2, policy.ConnectFailed); w.ended[1] != policy.ConnectFailed {
 		t.Fatalf("ended %v", w.ended)
 	}
@@ -355,8 +360,8 @@
 func TestWrittenInPart(t *testing.T) {
 	w := newWire()
 	b := New(Limits{Connections: 1, Pipeline: 2}, w)
-	b.Send(0, at(0), []byte{0}, 10)
-	b.Send(0, at(1), []byte{1}, 10)
+	b.Send(0, at(0), []byte{0}, till(0, 10))
+	b.Send(0, at(1), []byte{1}, till(0, 10))
 	x := b.Opened(0, nil, 0)
 	for n, end := range []int64{100, 200} {
 		if !writing(b, 0, x, n) {
@@ -382,7 +387,7 @@
 func TestListedAgain(t *testing.T) {
 	w := newWire()
 	b := New(Limits{Connections: 2, Pipeline: 1}, w)
-	b.Send(0, at(0), []byte{0}, 10)
+	b.Send(0, at(0), []byte{0}, till(0, 10))
 	x := b.Opened(0, nil, 0)
 	if !writing(b, 0, x, 0) {
 		t.Fatal("not written")
@@ -394,7 +399,7 @@
 		t.Fatal("the connection of before stays")
 	}
 	b.Closed(1, x, math.MaxInt64)
-	b.Send(2, at(1), []byte{1}, 10) // a dial is on its way when the box moves
+	b.Send(2, at(1), []byte{1}, till(2, 10)) // a dial is on its way when the box moves
 	b.Renew()
 	if b.Misdialed(); w.dials != 3 {
 		t.Fatalf("%d dials, want another one to where the box is now", w.dials)
@@ -403,3 +408,22 @@
 		t.Fatalf("written %v", w.written)
 	}
 }
+
+// An attempt whose time to begin is over when its connection comes up is not written, though its answer would still be
+// awaited: the box is not to blame.
+func TestTooLateToBegin(t *testing.T) {
+	w := newWire()
+	b := New(Limits{Connections: 1, Pipeline: 1}, w)
+	b.Send(0, at(0), []byte{0}, policy.Timing{StartS: 0.2, AnswerS: 10})
+	l := b.Opened(0.3, w, 0)
+	if _, may := b.Writing(0.3, l, at(0)); may {
+		t.Error("begun after its time")
+	}
+	if w.ended[0] != policy.Moot {
+		t.Errorf("ended as %v, want not sent", w.ended[0])
+	}
+	b.Send(1, at(1), []byte{1}, policy.Timing{StartS: 0.2, AnswerS: 10})
+	if left, may := b.Writing(1.1, l, at(1)); !may || left < 9.8 || left > 9.91 {
+		t.Errorf("%v s are left for its answer, may begin %v", left, may)
+	}
+}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -17,11 +17,13 @@
 
 // Options are the settings of a run.
 type Options struct {
-	Seed    uint64
-	For     time.Duration
-	Crowd   bool             // idle clients fill the descriptors
-	Program func() *exec.Cmd // an ingress that reads EDGE_CONFIG, with its environment; its program calls faults.Trap
-	Folder  string           // for configurations
+	Seed  uint64
+	For   time.Duration
+	Crowd bool // idle clients fill the descriptors
+	// Program is an ingress that reads EDGE_CONFIG and keeps to EDGE_NOFILE descriptors, with its environment; it calls
+	// faults.Trap.
+	Program func() *exec.Cmd
+	Folder  string // for configurations
 }
 
 // Report is what came of a run.
--- a/internal/soak/ingress.go
+++ b/internal/soak/ingress.go
@@ -21,6 +21,8 @@
 	roster [2]*standin.Roster // discovery on its machine, and where a new configuration moves it
 	asked  int                // which of the two
 
+	ending sync.Mutex // held while a process is being replaced
+
 	mu       sync.Mutex
 	process  *exec.Cmd
 	injector *faults.Injector
@@ -72,7 +74,7 @@
 		return err
 	}
 	cmd := n.fleet.program()
-	cmd.Env = append(cmd.Env, "EDGE_CONFIG="+n.cfg.path())
+	cmd.Env = append(cmd.Env, "EDGE_CONFIG="+n.cfg.path(), fmt.Sprint("EDGE_NOFILE=", n.fleet.sockets))
 	cmd.Stderr = &n.log
 	life := &Life{Started: time.Now()}
 	injector, err := faults.Start(cmd, trapped)
@@ -154,8 +156,13 @@
 	n.injector.Set(f...)
 }
 
-// restart tells the process to end, so many times in a row, kills it at the earliest moment, and starts another one.
+// restart tells the process to end, so many times in a row, kills it at the earliest moment, and starts another one. It does
+// nothing where the process is being replaced.
 func (n *ingress) restart(times int) error {
+	if !n.ending.TryLock() {
+		return nil
+	}
+	defer n.ending.Unlock()
 	life := n.lives[n.life()]
 	n.fleet.mark(func() { life.Terminated = time.Now() })
 	for range times {
@@ -176,8 +183,12 @@
 	return n.start()
 }
 
-// kill ends the process at once and starts another one.
+// kill ends the process at once and starts another one. It does nothing where the process is being replaced.
 func (n *ingress) kill() error {
+	if !n.ending.TryLock() {
+		return nil
+	}
+	defer n.ending.Unlock()
 	life := n.lives[n.life()]
 	n.fleet.mark(func() { life.Killed, life.KilledAtOnce = time.Now(), true })
 	n.signal(syscall.SIGKILL)
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"errors"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -40,8 +42,26 @@
 	troubleMost = 1500 // milliseconds
 )
 
-// troubles plays one after the other until the end. The last ones have time to pass.
+// mostSeries is how many series of troubles run beside each other, by the seed.
+const mostSeries = 3
+
+// troubles plays series of them beside each other until the end. The last ones have time to pass.
 func (f *fleet) troubles() error {
+	errs := make([]error, 1+f.seed%mostSeries)
+	var work sync.WaitGroup
+	for i := range errs {
+		work.Add(1)
+		go func() {
+			defer work.Done()
+			errs[i] = f.series()
+		}()
+	}
+	work.Wait()
+	return errors.Join(errs...)
+}
+
+// series plays one trouble after the other.
+func (f *fleet) series() error {
 	list := table()
 	sum := 0
 	for _, t := range list {
--- a/policy/api.go
+++ b/policy/api.go
@@ -173,10 +173,16 @@
 // String is the reason in words.
 func (r Refusal) String() string { return refusalNames[r] }
 
+// Timing bounds an attempt, in seconds from now.
+type Timing struct {
+	StartS  float64 // it is not begun later: for a connection it may have to wait
+	AnswerS float64 // nor is its answer awaited for longer
+}
+
 // Actions is what a Gateway asks of its ingress. Calls happen only while one of
 // the Gateway's event methods runs, and in the order in which they are to take effect.
 type Actions interface {
-	Send(id, server string, timeoutS float64)        // starts the request's next attempt
+	Send(id, server string, timing Timing)           // starts the request's next attempt
 	Refuse(id string, retryInS float64, why Refusal) // final answer: trying again is harmless
 	Fail(id string)                                  // final answer: promises nothing
 	Admit(id string)                                 // final answer to a Limit request: its units are taken
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -13,7 +13,7 @@
 	sent []string
 }
 
-func (in *ingress) Send(id, server string, timeoutS float64) {
+func (in *ingress) Send(id, server string, _ policy.Timing) {
 	in.sent = append(in.sent, server)
 	fmt.Printf("%s: send %s to %s\n", in.name, id, server)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,7 @@
 	poolMost      = 0.5   // of a ceiling, that grants of the first gateway on the ring are paid from, at most
 	anyIntake     = 1e6   // stands for no bound on it
 	lagS          = 0.05  // added to a verdict's age
+	windowMargin  = 0.2   // an ingress may stand still for 0.15 s between its clock and its write
 	demandTauS    = 1.5   // memory of what a customer asks for
 	cheapLeaves   = 0.18  // of the burst, that the cheapest work leaves to dearer work of its customer
 	memberS       = 10.0  // a member unheard of a customer for so long asks nothing of it
@@ -203,7 +204,8 @@
 	} else {
 		g.warmRate += r.cls.lat / (demandTauS * float64(max(1, len(g.order))))
 	}
-	g.act.Send(r.ID, s.ID, max(r.endAt()-g.now, guardS))
+	answer := max(r.endAt()-g.now, guardS)
+	g.act.Send(r.ID, s.ID, Timing{StartS: min(answer, g.repeatWindow(r)), AnswerS: answer})
 }
 
 // refuse ends the request with the mildest answer that is true.
@@ -258,7 +260,15 @@
 	if len(r.attempts) >= max(1, g.s.MaxAttempts) || g.now+r.cls.lat > r.endAt() {
 		return false
 	}
-	return r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.now <= r.ranAt+r.cls.KeyTTLS-lagS
+	return r.ran == nil || r.cls.Effect == Safe || r.cls.Effect == Keyed && g.repeatWindow(r) >= 0
+}
+
+// repeatWindow is for how long servers still drop a repeat of the request: a repeat has to begin by then.
+func (g *Gateway) repeatWindow(r *request) float64 {
+	if r.cls.Effect != Keyed || r.ran == nil {
+		return math.Inf(1)
+	}
+	return r.ranAt + r.cls.KeyTTLS - windowMargin - g.now
 }
 
 // whyNoRetry is the reason for which mayRetry says no.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -10,15 +10,15 @@
 type out struct {
 	kind, id, server string
 	to, attempt      int
-	x                float64
+	x, start         float64
 	data             []byte
 }
 
 // recorder keeps the actions of one gateway.
 type recorder struct{ acts []out }
 
-func (r *recorder) Send(id, s string, t float64) {
-	r.acts = append(r.acts, out{kind: "send", id: id, server: s, x: t})
+func (r *recorder) Send(id, s string, t Timing) {
+	r.acts = append(r.acts, out{kind: "send", id: id, server: s, x: t.AnswerS, start: t.StartS})
 }
 func (r *recorder) Refuse(id string, x float64, _ Refusal) {
 	r.acts = append(r.acts, out{kind: "refuse", id: id, x: x})
@@ -165,6 +165,33 @@
 	}
 }
 
+// The servers drop repeats of "any" for 0.5 s: a repeat begins within them, also where its connection comes up late or this
+// process stands still for 0.15 s.
+func TestKeyedRepeatBeginsWithinItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		endsAfter float64
+		begins    bool
+	}{{0.1, true}, {0.29, true}, {0.31, false}, {0.45, false}} {
+		g, r := gateway(t, alone)
+		ask(g, 100, "t", "any", "wide", 1)
+		first := r.of("send", "t")[0]
+		if first.start != first.x {
+			t.Fatalf("a first attempt begins within %v s, its answer is awaited for %v s", first.start, first.x)
+		}
+		r.acts = nil
+		g.Outcome(100+c.endsAfter, Outcome{ID: "t", Server: first.server, Status: Reset, SpentS: c.endsAfter})
+		again := r.of("send", "t")
+		if (len(again) == 1) != c.begins {
+			t.Errorf("after %v s: %d repeats", c.endsAfter, len(again))
+		}
+		for _, a := range again {
+			if begins := c.endsAfter + a.start; begins > 0.3+1e-9 || a.start >= a.x {
+				t.Errorf("after %v s: a repeat may begin %v s after the first attempt, want 0.15 s and more before 0.5 s", c.endsAfter, begins)
+			}
+		}
+	}
+}
+
 func TestKeyedResendsStayInGroupAndTime(t *testing.T) {
 	zone := map[string]string{"s1": "a", "s2": "a", "s3": "b"}
 	for seed := range 20 {
