A client that has ended its connection before its request is read has gone

Accept failed by ENFILE for 171 ms; the client's connection, request and end lay with the system meanwhile.

With Options.EndsFirst (edge) the system's word that the other end has ended comes with its word on input, and such a connection is closed unread; where that word is older than 10 ms the system is asked once more before what was read is handed on. What Conn.PauseReading took as an argument is this option now.

Red before, green now: TestClientGoneBeforeItsRequestIsRead (new connections and old ones, close and half-close: one request each sent on), TestClientGoneWhileOthersAreServed.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -73,15 +73,14 @@
 	if events&unix.EPOLLOUT != 0 {
 		c.flush()
 	}
+	ended := events&(unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) != 0
+	reading := c.want&unix.EPOLLIN != 0
 	switch {
 	case c.closed:
-	case c.want&unix.EPOLLIN != 0:
-		// A connection that is broken tells so when it is read.
-		if events&(unix.EPOLLIN|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
-			c.read()
-		}
-	case events&(unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) != 0:
+	case ended && (c.loop.group.ends || !reading):
 		c.loop.close(c, c.fault())
+	case reading && (ended || events&unix.EPOLLIN != 0): // one that is broken tells so when it is read
+		c.read()
 	}
 }
 
@@ -102,6 +101,8 @@
 		l.close(c, os.NewSyscallError("read", err))
 	case n == 0:
 		l.close(c, io.EOF)
+	case l.group.ends && time.Since(l.wokeAt) > oldEvents && c.hasEnded():
+		l.close(c, c.fault())
 	default:
 		if l.group.handler.OnData(c, l.buf[:n]) == Close {
 			l.close(c, nil)
@@ -109,19 +110,26 @@
 	}
 }
 
-// PauseReading leaves what comes in unread, so that the other end waits. With ends the connection is closed as soon as the
-// other end has ended it or its sending, though bytes lie unread before that end; otherwise only once it is broken.
-func (c *Conn) PauseReading(ends bool) {
+// oldEvents is how old the system's word on a connection may be, until it is asked again whether its other end has ended it.
+const oldEvents = 10 * time.Millisecond
+
+// hasEnded tells whether the other end has ended the connection, or its sending, though bytes lie unread before that.
+func (c *Conn) hasEnded() bool {
+	look := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(look, 0)
+	return err == nil && n > 0
+}
+
+// PauseReading leaves what comes in unread, so that the other end waits. The connection is closed meanwhile if it breaks,
+// and with Options.EndsFirst at its other end's end.
+func (c *Conn) PauseReading() {
 	c.want &^= unix.EPOLLIN
-	if ends {
-		c.want |= unix.EPOLLRDHUP
-	}
 	c.watch()
 }
 
 // ResumeReading takes PauseReading back.
 func (c *Conn) ResumeReading() {
-	c.want = c.want&^unix.EPOLLRDHUP | unix.EPOLLIN
+	c.want |= unix.EPOLLIN
 	c.watch()
 }
 
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -57,7 +57,12 @@
 
 func start(t *testing.T, e *echo, loops int) *Group {
 	t.Helper()
-	g, err := New(e, Options{Loops: loops, Log: zerolog.Nop()})
+	return startWith(t, e, Options{Loops: loops, Log: zerolog.Nop()})
+}
+
+func startWith(t *testing.T, e *echo, opt Options) *Group {
+	t.Helper()
+	g, err := New(e, opt)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -135,51 +140,50 @@
 	}
 }
 
-// A paused connection is not read; its end is told at once where that was asked for, with bytes unread before it.
+// A paused connection is not read, its end is found when it is read again; with EndsFirst it is told at once, with bytes
+// unread before it.
 func TestPauseReading(t *testing.T) {
-	got := make(chan string, 10)
-	conns := make(chan *Conn, 10)
-	e := &echo{
-		onOpen: func(c *Conn) Action { conns <- c; return None },
-		onData: func(c *Conn, data []byte) Action {
-			c.PauseReading(c.Context() != nil)
-			got <- string(data)
-			return None
-		},
-	}
-	g := start(t, e, 1)
-	defer g.Stop()
-	client := dial(t, g)
-	c := <-conns
-	_, _ = client.Write([]byte("one"))
-	if s := <-got; s != "one" {
-		t.Fatal(s)
-	}
-	_, _ = client.Write([]byte("two"))
-	_ = client.(*net.TCPConn).CloseWrite()
-	time.Sleep(50 * time.Millisecond)
-	if len(got) > 0 || len(e.ended()) > 0 {
-		t.Fatal("read while it was paused")
-	}
-	_ = c.Loop().Execute(c.ResumeReading)
-	if s := <-got; s != "two" {
-		t.Fatal(s)
-	}
-	_ = c.Loop().Execute(c.ResumeReading)
-	until(t, "its end is read", func() bool { return len(e.ended()) == 1 })
-
-	client = dial(t, g)
-	c = <-conns
-	set := make(chan struct{})
-	_ = c.Loop().Execute(func() { c.SetContext(true); close(set) })
-	<-set
-	_, _ = client.Write([]byte("three"))
-	<-got
-	_, _ = client.Write([]byte("four"))
-	_ = client.(*net.TCPConn).CloseWrite()
-	until(t, "its end is told", func() bool { return len(e.ended()) == 2 })
-	if len(got) > 0 {
-		t.Error("read while it was paused")
+	for _, ends := range []bool{false, true} {
+		got := make(chan string, 10)
+		conns := make(chan *Conn, 10)
+		e := &echo{
+			onOpen: func(c *Conn) Action { conns <- c; return None },
+			onData: func(c *Conn, data []byte) Action {
+				c.PauseReading()
+				got <- string(data)
+				return None
+			},
+		}
+		g := startWith(t, e, Options{EndsFirst: ends, Log: zerolog.Nop()})
+		client := dial(t, g)
+		c := <-conns
+		_, _ = client.Write([]byte("one"))
+		if s := <-got; s != "one" {
+			t.Fatal(s)
+		}
+		_, _ = client.Write([]byte("two"))
+		_ = client.(*net.TCPConn).CloseWrite()
+		if ends {
+			until(t, "its end is told", func() bool { return len(e.ended()) == 1 })
+			if len(got) > 0 {
+				t.Error("read while it was paused")
+			}
+		} else {
+			time.Sleep(50 * time.Millisecond)
+			if len(got) > 0 || len(e.ended()) > 0 {
+				t.Fatal("read while it was paused")
+			}
+			_ = c.Loop().Execute(c.ResumeReading)
+			if s := <-got; s != "two" {
+				t.Fatal(s)
+			}
+			_ = c.Loop().Execute(c.ResumeReading)
+			until(t, "its end is read", func() bool { return len(e.ended()) == 1 })
+		}
+		if err := e.ended()[0]; !errors.Is(err, io.EOF) {
+			t.Errorf("its end is told as %v", err)
+		}
+		g.Stop()
 	}
 }
 
--- a/internal/eventloop/group.go
+++ b/internal/eventloop/group.go
@@ -49,7 +49,10 @@
 type Options struct {
 	Loops      int // 1 at least
 	ReadBuffer int // bytes that are read at once, 0 for 64 kB
-	Log        zerolog.Logger
+	// EndsFirst has a connection closed as soon as its other end has ended it, or its sending: what lies unread before that
+	// end is thrown away. Otherwise it is read first.
+	EndsFirst bool
+	Log       zerolog.Logger
 }
 
 const readBuffer = 64 << 10
@@ -58,6 +61,7 @@
 type Group struct {
 	handler Handler
 	log     zerolog.Logger // for what may come in masses: so many lines a second
+	ends    bool           // see Options.EndsFirst
 	loops   []*Loop
 	turn    atomic.Uint32
 	ended   sync.WaitGroup
@@ -74,7 +78,7 @@
 func New(h Handler, opt Options) (*Group, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), startFor)
 	defer cancel()
-	g := &Group{handler: h, log: opt.Log.Sample(&zerolog.BurstSampler{Burst: warnMost, Period: time.Second})}
+	g := &Group{handler: h, ends: opt.EndsFirst, log: opt.Log.Sample(&zerolog.BurstSampler{Burst: warnMost, Period: time.Second})}
 	size := opt.ReadBuffer
 	if size <= 0 {
 		size = readBuffer
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -40,6 +40,8 @@
 	wake  int // eventfd
 	buf   []byte
 
+	wokeAt time.Time // when the system last told of events
+
 	// The loop's goroutine alone uses these.
 	conns       []*Conn // by descriptor
 	open        int
@@ -149,6 +151,7 @@
 			continue
 		}
 		wait = 0
+		l.wokeAt = time.Now()
 		for _, e := range events[:n] {
 			l.event(e)
 		}
@@ -265,6 +268,9 @@
 // adopt takes a connection in, in the loop's goroutine.
 func (l *Loop) adopt(fd int, value any) {
 	c := &Conn{loop: l, fd: fd, serial: l.serial, value: value, want: unix.EPOLLIN}
+	if l.group.ends {
+		c.want |= unix.EPOLLRDHUP
+	}
 	if l.serial++; l.serial < firstSerial {
 		l.serial = firstSerial
 	}
--- a/internal/front/input.go
+++ b/internal/front/input.go
@@ -138,7 +138,7 @@
 func (k *conn) park() eventloop.Action {
 	k.parked, k.ready = true, k.head
 	k.loop.s.parks.Add(1)
-	k.c.PauseReading(k.loop.s.opt.Leavers)
+	k.c.PauseReading()
 	return eventloop.None
 }
 
--- a/internal/front/linger_test.go
+++ b/internal/front/linger_test.go
@@ -189,6 +189,91 @@
 	}
 }
 
+// A client asks and leaves before the loop looks at its connection, a new one or one that stands: it has gone, and nothing is
+// sent on for it.
+func TestClientGoneBeforeItsRequestIsRead(t *testing.T) {
+	for _, leave := range []func(k *raw) error{(*raw).Close, func(k *raw) error { return k.Conn.(*net.TCPConn).CloseWrite() }} {
+		for _, stands := range []bool{false, true} {
+			srv, s, addr := startWith(t, nil, func(o *Options) { o.Commands, o.Loops, o.Leavers = echo{}, 1, true })
+			k := visitor(t, addr)
+			if stands {
+				k.says(say, "+said\r\n")
+			}
+			held, release := make(chan struct{}), make(chan struct{})
+			for el := range srv.loops {
+				if err := el.Execute(func() { close(held); <-release }); err != nil {
+					t.Fatal(err)
+				}
+			}
+			<-held
+			if !stands {
+				k = visitor(t, addr)
+			}
+			k.write("*1\r\n$2\r\nGO\r\n")
+			if err := leave(k); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(20 * time.Millisecond) // both are with the system
+			close(release)
+			opened := uint64(2)
+			if stands {
+				opened = 1
+			}
+			wait(t, func() bool { c := srv.Counts(); return c.Opened == opened && c.Open == opened-1 })
+			if n := s.seen(); n != 0 {
+				t.Errorf("%d requests asked for a client that had gone, its connection stood before: %v", n, stands)
+			}
+		}
+	}
+}
+
+// The client leaves while the loop is at work on others' input, behind the wait that told of its request.
+func TestClientGoneWhileOthersAreServed(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	srv, s, addr := startWith(t, nil, func(o *Options) {
+		o.Commands, o.Loops, o.Leavers = &slowWorld{entered: entered, release: release}, 1, true
+	})
+	busy, leaver := visitor(t, addr), visitor(t, addr)
+	busy.says(say, "+said\r\n")
+	leaver.says(say, "+said\r\n")
+	held, go1 := make(chan struct{}), make(chan struct{})
+	for el := range srv.loops {
+		if err := el.Execute(func() { close(held); <-go1 }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	<-held
+	busy.write("*1\r\n$4\r\nSLOW\r\n")
+	time.Sleep(20 * time.Millisecond) // it is told of first
+	leaver.write("*1\r\n$2\r\nGO\r\n")
+	time.Sleep(20 * time.Millisecond)
+	close(go1)
+	<-entered
+	leaver.Close()
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	wait(t, func() bool { return srv.Open() == 1 })
+	if n := s.seen(); n != 0 {
+		t.Errorf("%d requests asked for a client that had gone", n)
+	}
+}
+
+// slowWorld is echo with a command that holds its loop up.
+type slowWorld struct {
+	echo
+	entered, release chan struct{}
+}
+
+func (w *slowWorld) Command(c Conn, args [][]byte) {
+	if string(args[0]) == "SLOW" {
+		close(w.entered)
+		<-w.release
+		c.Say([]byte("+slow\r\n"))
+		return
+	}
+	w.echo.Command(c, args)
+}
+
 // A full house that leaves: requests cross the ends of all its connections at once, and none is reset.
 func TestRetireCrossesAFullHouse(t *testing.T) {
 	bounds, world := openWorld(16)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -55,7 +55,7 @@
 	Commands Commands
 	Book     *access.Book
 	// Leavers has a client that ends its connection, or its sending, count as gone at once, also while it is read no
-	// further: what it has asked is given up. Otherwise what it sent before its end is read first.
+	// further: what it has asked is given up, and what it sent before its end is not read. Otherwise that is read first.
 	Leavers bool
 	Crowd   crowd.Limits  // when connections without a request give way; the zero value keeps them
 	Info    func() string // the text of INFO
@@ -116,7 +116,7 @@
 	s.pool = intake.New(intake.Limits{Free: chunkMost, Total: max(opt.Bounds.Input, opt.Bounds.Bulk), Reserve: s.lim.Whole,
 		Strangers: max(opt.Bounds.Input/4, strangerMost), PassS: passAfter})
 	var err error
-	if s.group, err = eventloop.New(s, eventloop.Options{Loops: opt.Loops, ReadBuffer: chunkMost, Log: opt.Log}); err != nil {
+	if s.group, err = eventloop.New(s, eventloop.Options{Loops: opt.Loops, ReadBuffer: chunkMost, EndsFirst: opt.Leavers, Log: opt.Log}); err != nil {
 		return nil, fmt.Errorf("front: %w", err)
 	}
 	for _, el := range s.group.Loops() {
