--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -508,8 +508,7 @@
 	}
 }
 
-// A connection that comes up after the time in which a repeat may begin carries nothing to the box, though its answer would
-// still be awaited.
+// The attempt's answer would still be awaited.
 func TestConnectionComesUpAfterTheWindow(t *testing.T) {
 	b := newPeerBox(t)
 	addr := b.ln.Addr().String()
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -95,7 +95,6 @@
 	return in, cmd, out
 }
 
-// A list that can't be written is written once it can be, without another list from discovery.
 func TestListIsKeptOnceTheDiskTakesIt(t *testing.T) {
 	for _, fault := range []faults.Fault{
 		{Call: faults.Write, On: "list.json", Errno: unix.ENOSPC}, {Call: faults.Fsync, On: "list.json", Errno: unix.EIO},
@@ -121,7 +120,6 @@
 	}
 }
 
-// A list that can't be read for a moment is read when it can be.
 func TestKeptListIsReadThoughTheDiskFailsForAMoment(t *testing.T) {
 	keep := filepath.Join(t.TempDir(), "list.json")
 	e, err := standin.NewEDS("127.0.0.1:0", "boxes", list)
@@ -143,7 +141,6 @@
 	}
 }
 
-// What a process that was killed left half written beside the list is removed, and nothing else.
 func TestHalfWrittenListIsRemoved(t *testing.T) {
 	folder := t.TempDir()
 	keep := filepath.Join(folder, "list.json")
--- a/internal/edge/faults_test.go
+++ b/internal/edge/faults_test.go
@@ -361,8 +361,7 @@
 		faults.Fault{Call: faults.Dup, Errno: unix.EMFILE, Share: 0.3})
 }
 
-// A broken connection to a server shows as errors that Linux gives for a network that fails. What was out on it may have
-// run: a request that must not run twice fails then, and every request has its answer.
+// What was out on a connection that breaks may have run.
 func TestBrokenConnectionsToServersLoseAndRepeatNothing(t *testing.T) {
 	a := &arrivals{times: map[string]int{}, class: map[string]string{}}
 	p := newPlatform(t, 1, a.counting)
@@ -381,7 +380,6 @@
 	load(f.addr, 3, faultTime/2).check(t, 1)
 }
 
-// The same on connections of clients: nobody else loses anything by it.
 func TestBrokenClientsHarmNobodyElse(t *testing.T) {
 	a := &arrivals{times: map[string]int{}, class: map[string]string{}}
 	p := newPlatform(t, 2, a.counting)
@@ -418,7 +416,7 @@
 	}
 }
 
-// SIGHUP while the file can't be read, or is read half written: it holds once it can be.
+// The last case is a file that is read half written.
 func TestReloadsThoughTheFileCannotBeReadForAMoment(t *testing.T) {
 	for _, fault := range []faults.Fault{{Call: faults.Open, On: "config.json", Errno: unix.ENFILE}, {Call: faults.Read, On: "config.json", Errno: unix.EIO}, {}} {
 		p := newPlatform(t, 1, good)
--- a/internal/front/linger_test.go
+++ b/internal/front/linger_test.go
@@ -189,8 +189,7 @@
 	}
 }
 
-// A client asks and leaves before the loop looks at its connection, a new one or one that stands: it has gone, and nothing is
-// sent on for it.
+// On a new connection and on one that stands; a half-close is an end.
 func TestClientGoneBeforeItsRequestIsRead(t *testing.T) {
 	for _, leave := range []func(k *raw) error{(*raw).Close, func(k *raw) error { return k.Conn.(*net.TCPConn).CloseWrite() }} {
 		for _, stands := range []bool{false, true} {
@@ -227,7 +226,7 @@
 	}
 }
 
-// The client leaves while the loop is at work on others' input, behind the wait that told of its request.
+// The leaver's end comes behind the wait that told of its request.
 func TestClientGoneWhileOthersAreServed(t *testing.T) {
 	entered, release := make(chan struct{}), make(chan struct{})
 	srv, s, addr := startWith(t, nil, func(o *Options) {
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -409,8 +409,7 @@
 	}
 }
 
-// An attempt whose time to begin is over when its connection comes up is not written, though its answer would still be
-// awaited: the box is not to blame.
+// The box is not to blame.
 func TestTooLateToBegin(t *testing.T) {
 	w := newWire()
 	b := New(Limits{Connections: 1, Pipeline: 1}, w)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -165,8 +165,7 @@
 	}
 }
 
-// The servers drop repeats of "any" for 0.5 s: a repeat begins within them, also where its connection comes up late or this
-// process stands still for 0.15 s.
+// Servers drop repeats of "any" for 0.5 s; this process may stand still for 0.15 s of that.
 func TestKeyedRepeatBeginsWithinItsWindow(t *testing.T) {
 	for _, c := range []struct {
 		endsAfter float64
