--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -15,6 +16,7 @@
 // request is one request of a client, and what became of it.
 type request struct {
 	verb, id, customer, class string
+	plan                      string // "": basic
 	waitMS                    int
 	key, body                 string
 
@@ -26,7 +28,7 @@
 
 // words returns the request as a command.
 func (q *request) words() []string {
-	list := "c=" + q.class + ",t=basic,d=" + strconv.Itoa(q.waitMS)
+	list := "c=" + q.class + ",t=" + cmp.Or(q.plan, "basic") + ",d=" + strconv.Itoa(q.waitMS)
 	if q.key != "" {
 		list += ",k=" + q.key
 	}
--- a/review/rig/discovery.go
+++ b/review/rig/discovery.go
@@ -42,7 +42,7 @@
 	seq     uint64
 	hosts   []host
 	changed chan struct{} // closed at the next change
-	told    map[string]time.Time
+	silent  bool          // calls are accepted and not answered
 }
 
 // startDiscovery serves a list of servers.
@@ -59,6 +59,15 @@
 	return d, nil
 }
 
+// set puts another list in force.
+func (d *discovery) set(seq uint64, hosts []host, silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seq, d.hosts, d.silent = seq, hosts, silent
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
 // targets answers with the whole list, or waits for a newer one.
 func (d *discovery) targets(w http.ResponseWriter, r *http.Request) {
 	asked := time.Now()
@@ -94,6 +103,16 @@
 		}
 	}
 	d.mu.Lock()
+	for d.silent {
+		changed := d.changed
+		d.mu.Unlock()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+		d.mu.Lock()
+	}
 	answer := listOf(d.seq, true, d.hosts)
 	if watch && d.seq <= since {
 		answer = listOf(d.seq, false, nil)
--- a/review/rig/ingress.go
+++ b/review/rig/ingress.go
@@ -31,15 +31,28 @@
 	stopSendingWithinS float64
 	parallelTries      bool
 	known              []host
+	plans              []map[string]any // nil: one plan without a quota
+	listen             string           // "": a free address
+	descriptors        int              // the system's limit for the process, 0: as it is
 }
 
-// settings returns the settings object of an ingress. It has one plan without a quota, so that quotas refuse nothing.
+// plan returns a plan of the settings; rates of 0 mean that there is no such limit.
+func plan(name string, rate, burst, ceilingRate, ceilingBurst, slack float64) map[string]any {
+	return map[string]any{"capDepth": ceilingBurst, "ceilingSlack": slack, "excessCost": 1.0, "extraWorth": 0.0, "hardRate": ceilingRate,
+		"name": name, "parallel": 0, "pays": 1.0, "peakUnits": burst, "unitsPerS": rate}
+}
+
+// settings returns the settings object of an ingress.
 func (d deployment) settings() map[string]any {
 	profiles := []map[string]any{}
 	for _, c := range d.classes {
 		profiles = append(profiles, map[string]any{"aimS": c.aimS, "deadlineS": c.deadlineS, "effect": c.effect, "keyScope": "all",
 			"keyTtlS": 5.0, "lateWorth": 0.2, "name": c.name, "stream": false, "worth": 3.0})
 	}
+	plans := d.plans
+	if plans == nil {
+		plans = []map[string]any{plan("basic", 0, 0, 0, 0, 0)}
+	}
 	return map[string]any{
 		"balancers": 1, "clientHabits": map[string]any{"marksRetry": false}, "discovery": "pushed", "failureDomains": []string{"room-a"},
 		"family": "gate", "familyInfo": map[string]any{"counterPrice": 0.0, "counterTimeoutS": 0.0, "maxUnits": 4, "meterPeriodS": 0.0,
@@ -49,9 +62,8 @@
 			"maxAttempts": 3, "maxRetryAfterS": 0.5, "mostHeld": 20000, "multiplex": 100, "parallelTries": d.parallelTries,
 			"peerMessages": false, "probes": false, "retryAfter": true},
 		"me": 0, "myZone": "room-a",
-		"packages": []map[string]any{{"capDepth": 0.0, "ceilingSlack": 0.0, "excessCost": 1.0, "extraWorth": 0.0, "hardRate": 0.0,
-			"name": "basic", "parallel": 0, "pays": 1.0, "peakUnits": 0.0, "unitsPerS": 0.0}},
-		"prices": map[string]any{"crossZone": 0.0, "waste": 0.03}, "profiles": profiles,
+		"packages": plans,
+		"prices":   map[string]any{"crossZone": 0.0, "waste": 0.03}, "profiles": profiles,
 		"rules": map[string]any{"answerSlackS": 0.05, "askWithinS": 10.0, "coldFrom": 0.3, "coldS": 10.0, "fallMultiple": 4.0, "fallS": 1.5,
 			"stopSendingWithinS": d.stopSendingWithinS},
 		"scoreParts": map[string]any{"whole": 1.0}, "stages": []string{"front"}, "tickS": 0.002, "tier": 0, "weights": "none"}
@@ -61,6 +73,7 @@
 type ingress struct {
 	rec    *record
 	listen string
+	config string // path of its configuration
 	cmd    *exec.Cmd
 	done   chan struct{} // closed when the process has ended
 	log    *os.File
@@ -88,9 +101,11 @@
 	if run == nil {
 		return nil, errors.New("deploy/balancer.toml has no run command")
 	}
-	listen, err := freeAddr()
-	if err != nil {
-		return nil, err
+	listen := d.listen
+	if listen == "" {
+		if listen, err = freeAddr(); err != nil {
+			return nil, err
+		}
 	}
 	peer, err := freeAddr()
 	if err != nil {
@@ -103,15 +118,19 @@
 	if err != nil {
 		return nil, err
 	}
-	path := filepath.Join(dir, "config.json")
+	path := filepath.Join(dir, "config-"+strconv.FormatInt(time.Now().UnixNano(), 36)+".json")
 	if err := os.WriteFile(path, config, 0o600); err != nil {
 		return nil, err
 	}
-	in := &ingress{rec: rec, listen: listen, done: make(chan struct{})}
-	if in.log, err = os.Create(filepath.Join(dir, "ingress.log")); err != nil {
+	in := &ingress{rec: rec, listen: listen, config: path, done: make(chan struct{})}
+	if in.log, err = os.OpenFile(filepath.Join(dir, "ingress.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
 		return nil, err
 	}
-	in.cmd = exec.Command("/bin/sh", "-c", run[1])
+	line := run[1]
+	if d.descriptors > 0 {
+		line = fmt.Sprintf("ulimit -n %d && %s", d.descriptors, line)
+	}
+	in.cmd = exec.Command("/bin/sh", "-c", line)
 	in.cmd.Dir = repo
 	in.cmd.Env = append(os.Environ(), "EDGE_NAME=n0", "EDGE_LISTEN="+listen, "EDGE_DISCOVERY="+discovery, "EDGE_CONFIG="+path, "TMPDIR="+dir)
 	in.cmd.Stdout, in.cmd.Stderr = in.log, in.log
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,7 +22,8 @@
 	trouble bool
 }
 
-var cases = map[string]func(*stage) (int, error){"foreign": foreign, "memory": memory, "withheld": withheld, "slow": slowDiscovery, "starve": starve, "gone": gone}
+var cases = map[string]func(*stage) (int, error){"foreign": foreign, "memory": memory, "withheld": withheld, "slow": slowDiscovery, "starve": starve, "gone": gone,
+	"collide": collide, "two": twoProcesses, "same-id": sameID, "older": olderList, "hanging": hangingDiscovery, "crowd": crowd}
 
 func main() {
 	repo := flag.String("repo", "", "root of the repository")
