Bound commands and answers in progress by bytes, so that no client can exhaust the memory

Cause: open requests were bounded by number, eight for each client connection, whatever their size; answers that wait for earlier ones in a pipeline were not bounded by size at all. The class: memory is bounded by a number of things whose size the other side chooses.

Evidence: gctrace shows 67 MB live after each of 300 collections in a row, so it is no garbage; 976 requests may be open here, 976 x 60 kB are 59 MB.

Fix: internal/membudget counts bytes over all connections: commands in progress, answers that can't be written yet, unread output, incomplete answers of servers. Pipelines share its first half and wait for their own answers; the second half is kept for connections with one command, which is refused at once if it does not fit. Payloads are dropped with the answer, and an attempt written in part is not written again once its request is answered. Answers are written while reading is paused, as the pause is more frequent now. An answer of a platform server has three values at most. serve has the same budget.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -17,6 +17,7 @@
 	"cometpond/internal/connpool"
 	"cometpond/internal/core"
 	"cometpond/internal/eventloop"
+	"cometpond/internal/membudget"
 	"cometpond/internal/resp"
 	"cometpond/policy"
 )
@@ -60,6 +61,8 @@
 	IdleTimeoutS        float64       // see connpool.Limits; 0: no limit
 	StrictProbes        bool          // a probe connection is closed when an unexpected reply comes
 	Loops               int           // event loops, at least 1
+	// Memory bounds the incomplete replies of all connections; a connection whose reply does not fit is closed. nil: no bound.
+	Memory *membudget.Budget
 	// DialContext opens a connection; nil: over TCP.
 	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
 	Log         zerolog.Logger
@@ -70,6 +73,7 @@
 	Dials, DialsFailed uint64 // connections that were dialed, and dials that failed
 	AttemptsBroken     uint64 // attempts that may have run when their connection ended
 	LateReplies        uint64 // replies to attempts that had been cancelled
+	RepliesOutOfMemory uint64 // connections closed because the memory budget had no room for an incomplete reply
 	OpenConnections    int64  // connections that are open now
 }
 
@@ -89,8 +93,8 @@
 	servers   map[string]*server // by name
 	addresses map[string]string  // by name, of servers whose names are not their addresses
 
-	dials, dialsFailed, attemptsBroken, lateReplies atomic.Uint64
-	openConnections                                 atomic.Int64
+	dials, dialsFailed, attemptsBroken, lateReplies, repliesOutOfMemory atomic.Uint64
+	openConnections                                                     atomic.Int64
 }
 
 // maxLogsPerSecond bounds the warnings about single connections.
@@ -191,7 +195,7 @@
 // Counts returns the current counts.
 func (pool *Pool) Counts() Counts {
 	return Counts{pool.dials.Load(), pool.dialsFailed.Load(), pool.attemptsBroken.Load(),
-		pool.lateReplies.Load(), pool.openConnections.Load()}
+		pool.lateReplies.Load(), pool.repliesOutOfMemory.Load(), pool.openConnections.Load()}
 }
 
 // now returns the seconds since the pool's start on a monotonic clock.
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/goleak"
 
 	"cometpond/internal/core"
+	"cometpond/internal/membudget"
 	"cometpond/internal/resp"
 	"cometpond/policy"
 )
@@ -153,6 +154,16 @@
 
 func attempt(n int) core.AttemptID { return core.AttemptID{Index: n} }
 
+// waitFor waits until done returns true.
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not within 20 s")
+		}
+	}
+}
+
 // doCommand is the command of attempt n.
 func doCommand(n int) []byte { return resp.AppendCommand(nil, "DO", fmt.Sprint(n)) }
 
@@ -221,6 +232,29 @@
 	sink.expect(t, 2, policy.ConnectFailed, "")
 }
 
+// Incomplete replies are bounded by the memory budget: a connection whose reply does not fit is closed, and what the
+// connections held is free again at their end.
+func TestIncompleteRepliesStayWithinTheMemory(t *testing.T) {
+	const length = 40_000
+	srv := newTestServer(t)
+	addr := srv.listener.Addr().String()
+	budget := membudget.New(3 * length / 2)
+	pool, sink := setup(t, func(opt *Options) { opt.Memory, opt.Pipeline = budget, 1 }, addr)
+	half := fmt.Sprintf("$%d\r\n%s", length, strings.Repeat("v", length/2))
+	pool.Send(attempt(0), addr, doCommand(0), within(10))
+	first := srv.next(t)
+	_, _ = first.conn.Write([]byte(half))
+	waitFor(t, func() bool { return budget.Used() > length })
+	pool.Send(attempt(1), addr, doCommand(1), within(10))
+	_, _ = srv.next(t).conn.Write([]byte(half))
+	sink.expect(t, 1, policy.Reset, "")
+	_, _ = first.conn.Write([]byte(strings.Repeat("v", length/2) + "\r\n"))
+	sink.expect(t, 0, policy.OK, fmt.Sprintf("$%d\r\n%s\r\n", length, strings.Repeat("v", length)))
+	if waitFor(t, func() bool { return budget.Used() == 0 }); pool.Counts().RepliesOutOfMemory != 1 {
+		t.Errorf("%+v", pool.Counts())
+	}
+}
+
 // The reply to a cancelled attempt is dropped, and the reply after it goes to the next attempt.
 func TestLateReply(t *testing.T) {
 	srv := newTestServer(t)
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -16,6 +16,7 @@
 	addr      string          // the address that was dialed
 	written   int64           // bytes passed to the event loop for sending; used only by the loop's goroutine
 	input     []byte          // the beginning of an incomplete reply
+	heldBytes int             // of the memory budget, for input
 	need      int             // length that input must reach before parsing it again can succeed
 	outgoing  []queuedAttempt // protected by the server's lock
 	closed    bool            // used only by the loop's goroutine
@@ -121,7 +122,7 @@
 		data = conn.input
 	}
 	if len(data) < conn.need {
-		return eventloop.None
+		return conn.holdInput()
 	}
 	conn.need = 0
 	used, action := 0, eventloop.None
@@ -178,15 +179,42 @@
 	if len(results) > 0 {
 		pool.core.HandleResults(results)
 	}
+	if action == eventloop.None {
+		action = conn.holdInput()
+	}
 	return action
 }
 
+// freeInputBytes is what a connection may hold of an incomplete reply without counting it against the memory budget.
+const freeInputBytes = 4 << 10
+
+// holdInput adjusts the connection's part of the memory budget to its input, and closes the connection if that does not fit.
+func (conn *connection) holdInput() eventloop.Action {
+	pool, needed := conn.server.pool, 0
+	if len(conn.input) > freeInputBytes {
+		needed = max(len(conn.input), conn.need)
+	}
+	switch more := needed - conn.heldBytes; {
+	case more < 0:
+		pool.opt.Memory.Release(-more)
+	case more > 0 && !pool.opt.Memory.Reserve(0, more):
+		pool.repliesOutOfMemory.Add(1)
+		pool.sampledLog.Warn().Str("box", conn.server.name).Int("bytes", needed).
+			Msg("no memory for the reply of a server; closing the connection")
+		return eventloop.Close
+	}
+	conn.heldBytes = needed
+	return eventloop.None
+}
+
 // OnClose ends the attempts on a connection that were sent in full, moves the others to other connections, and ends the
 // probe on a probe connection.
 func (pool *Pool) OnClose(socket *eventloop.Conn, err error) {
 	conn := socket.Context().(*connection)
 	defer pool.openConnections.Add(-1) // last, so that whoever sees the lower count finds nothing left of the connection
 	conn.closed = true
+	pool.opt.Memory.Release(conn.heldBytes)
+	conn.heldBytes = 0
 	srv := conn.server
 	unwritten := int64(socket.Unsent())
 	srv.mu.Lock()
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -73,6 +73,7 @@
 	conn      *Conn
 	greeting  bool
 	cancelled bool
+	withdrawn bool  // its reply is no longer needed
 	written   bool  // written, or about to be
 	endOffset int64 // offset of the end of its command in the bytes sent on the connection; once these are sent it may run
 }
@@ -284,9 +285,13 @@
 }
 
 // Withdraw takes back an attempt whose reply is no longer needed. If it is unwritten, it ends as policy.NotSent and the
-// server never sees it; otherwise it runs to its end.
+// server never sees it; otherwise it runs to its end, but is not written again.
 func (pool *Pool) Withdraw(attempt core.AttemptID) {
-	if pending := pool.attempts[attempt]; pending != nil && !pending.written {
+	switch pending := pool.attempts[attempt]; {
+	case pending == nil:
+	case pending.written:
+		pending.withdrawn, pending.payload = true, nil
+	default:
 		pool.Cancel(attempt)
 		pool.effects.End(attempt, policy.NotSent)
 	}
@@ -299,7 +304,7 @@
 		return
 	}
 	delete(pool.attempts, attempt)
-	pending.cancelled = true
+	pending.cancelled, pending.payload = true, nil
 	if conn := pending.conn; conn != nil {
 		// StartWrite takes an unwritten attempt off the connection, which stays usable.
 		if conn.cancelled++; pending.written && conn.cancelled == len(conn.queue) {
@@ -369,6 +374,9 @@
 		case pending.written && pending.endOffset <= sentBytes:
 			delete(pool.attempts, pending.attempt)
 			pool.effects.End(pending.attempt, policy.Reset)
+		case pending.withdrawn:
+			delete(pool.attempts, pending.attempt)
+			pool.effects.End(pending.attempt, policy.NotSent)
 		default:
 			pending.conn, pending.written = nil, false
 			pool.place(now, pending)
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -383,6 +383,24 @@
 	}
 }
 
+// An attempt that was written in part when its reply was no longer needed is not written again, and its payload is dropped.
+func TestWithdrawnAttemptIsNotWrittenAgain(t *testing.T) {
+	rec := newRecord()
+	pool := New(Limits{Connections: 1, Pipeline: 1}, rec)
+	pool.Send(0, attempt(0), []byte{0}, deadline(0, 10))
+	conn := pool.Opened(0, nil, 0)
+	if !startWrite(pool, 0, conn, 0) {
+		t.Fatal("not written")
+	}
+	conn.SetEndOffset(attempt(0), 100)
+	if pool.Withdraw(attempt(0)); conn.queue[0].payload != nil {
+		t.Fatal("the payload is kept")
+	}
+	if pool.Closed(1, conn, 50); rec.ended[0] != policy.NotSent || rec.dials != 1 || pool.InFlight() != 0 {
+		t.Fatalf("ended %v, %d dials, %d in flight", rec.ended, rec.dials, pool.InFlight())
+	}
+}
+
 // A server that was removed and is listed again is a new one, and so is a server with a new address: the connections
 // opened before are not used.
 func TestListedAgain(t *testing.T) {
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -35,7 +35,7 @@
 	Units         float64 // above 0; may be 0 with QuotaOnly, which asks for the quota and takes nothing
 	QuotaOnly     bool    // takes units and sends nothing to a server
 	Key           string  // submission key, for keyed classes; "": the call is not matched with repeats
-	Payload       []byte  // what is sent to the server
+	Payload       []byte  // what is sent to the server; nil again once the call is answered
 	TimeoutS      float64 // time in which the client wants the answer, seconds; 0 or beyond the class's deadline: that deadline
 	AgeS          float64 // maximum age when the call is submitted, above 0 after a pause; counts towards the deadline
 	Front         Front   // gets the answer
@@ -341,6 +341,7 @@
 			mach.counts.Joined++
 			req := &mach.slots[decision.Entry.RequestRef]
 			req.calls = append(req.calls, call)
+			call.Payload = nil // the open request's own payload is sent
 			call.slotRef, call.generation = uint32(decision.Entry.RequestRef)+1, req.generation
 			return
 		case keys.Replay:
@@ -451,7 +452,7 @@
 	if req.keyEntry != nil || len(req.calls) > 0 {
 		return
 	}
-	req.finished = true
+	req.finished, req.payload = true, nil
 	mach.gateway.RequestAbandoned(mach.now, req.id)
 	for index := range req.attempts {
 		mach.cancelAttempt(slotIndex, index)
@@ -522,7 +523,7 @@
 	if req.finished {
 		return
 	}
-	req.finished = true
+	req.finished, req.payload = true, nil // nothing more is sent
 	if req.keyEntry != nil {
 		if ans.Kind == Served {
 			mach.keys.MarkServed(mach.now, req.keyEntry, ans.Payload)
@@ -551,6 +552,7 @@
 		return
 	}
 	call.done = true
+	call.Payload = nil // as long as attempts need it, the slot holds it
 	mach.releaseID(call)
 	switch ans.Kind {
 	case Served:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"cometpond/internal/edge/plan"
 	"cometpond/internal/edge/svc"
 	"cometpond/internal/front"
+	"cometpond/internal/membudget"
 	"cometpond/internal/peer"
 	"cometpond/internal/syserr"
 )
@@ -35,6 +36,7 @@
 	peers     *peer.Transport
 	discovery *endpoints.Client
 	front     *front.Server
+	memory    *membudget.Budget
 
 	stopServices     context.CancelFunc
 	stopLoop         context.CancelFunc
@@ -159,7 +161,10 @@
 		ingress.loop.Observe(traceRequests(log))
 	}
 	ingress.pauses = core.NewPauseMonitor(ingress.clock)
-	ingress.pool, err = backend.New(ingress.loop, poolOptions(cfg, budget, log.With().Str("part", "backend").Logger()))
+	ingress.memory = membudget.New(budget.WorkBytes)
+	backendOptions := poolOptions(cfg, budget, log.With().Str("part", "backend").Logger())
+	backendOptions.Memory = ingress.memory
+	ingress.pool, err = backend.New(ingress.loop, backendOptions)
 	if err != nil {
 		return nil, err
 	}
@@ -202,7 +207,7 @@
 	}
 	commands := svc.NewClientProtocol(svc.NewCommandParser(cfg.Settings.Settings))
 	ingress.front, err = front.Start(ingress.loop, front.Options{Listen: cfg.Listen, Loops: 1, CloseOnClientEOF: true, Limits: budget.Front,
-		IdleLimits: budget.IdleConnections, Handler: commands, InputAge: ingress.pauses.InputAge, Log: log.With().Str("part", "front").Logger()})
+		IdleLimits: budget.IdleConnections, Handler: commands, InputAge: ingress.pauses.InputAge, Memory: ingress.memory, Log: log.With().Str("part", "front").Logger()})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/edge/plan/budget.go
+++ b/internal/edge/plan/budget.go
@@ -35,6 +35,7 @@
 	ClientConnections int   // client connections
 	ServerConnections int   // connections to servers, without those of probes
 	OpenRequests      int   // requests in progress
+	WorkBytes         int   // commands in progress, their answers, and incomplete answers of servers
 	HeapBytes         int64 // soft memory limit of the garbage collector
 	Front             config.FrontLimits
 	IdleConnections   idleconn.Limits
@@ -52,6 +53,13 @@
 // heapShare is the heap limit as a share of the memory; stacks, the program and system buffers need the rest.
 const heapShare = 0.6
 
+// Divisors of the memory. The parts for work and for incomplete commands must stay well below the heap limit together: an
+// idle ingress needs some megabytes, and the garbage collector works all the time if little of the heap is free.
+const (
+	workDivisor  = 6
+	inputDivisor = 16
+)
+
 // commandTimeout limits the time from the first to the last byte of a command, and the time that a new connection may
 // take to send its first command. A client that sends no command must be disconnected within 3 s, so this is lower.
 const commandTimeout = 2 * time.Second
@@ -62,16 +70,15 @@
 	memory := int(resources.MemoryMB) << 20
 	budget := Budget{Threads: 2, ClientConnections: int(float64(resources.Sockets) * clientConnectionShare),
 		ServerConnections: int(float64(resources.Sockets) * serverConnectionShare),
-		HeapBytes:         int64(float64(memory) * heapShare)}
-	// An open request holds its command and at most two answers. Half of the memory is available for requests of maximum size.
-	budget.OpenRequests = max(64, memory/2/(3*maxValueBytes))
-	budget.OpenRequests = max(budget.OpenRequests, 8*budget.ClientConnections) // most commands are far below the maximum size
+		HeapBytes:         int64(float64(memory) * heapShare), WorkBytes: memory / workDivisor}
+	// The number bounds what each request needs whatever its size; WorkBytes bounds the sizes.
+	budget.OpenRequests = max(64, memory/2/(3*maxValueBytes), 8*budget.ClientConnections)
 	if maxOpenRequests > 0 {
 		budget.OpenRequests = min(budget.OpenRequests, maxOpenRequests)
 	}
 	budget.IdleConnections = idleconn.DefaultLimits(budget.ClientConnections, commandTimeout.Seconds())
 	budget.Front = config.FrontLimits{MaxConnections: budget.ClientConnections, MaxArgumentBytes: maxValueBytes, MaxPipelined: 256, MaxUnreadBytes: 2 * maxValueBytes,
-		MaxInputBytes: memory / 16, PartialTimeout: commandTimeout}
+		MaxInputBytes: memory / inputDivisor, PartialTimeout: commandTimeout}
 	return budget
 }
 
--- a/internal/edge/plan/plan_test.go
+++ b/internal/edge/plan/plan_test.go
@@ -28,6 +28,9 @@
 		if budget.HeapBytes <= 0 || float64(budget.HeapBytes) > 0.7*mb*(1<<20) || budget.Front.MaxInputBytes > int(mb)<<20/8 {
 			t.Errorf("%v MB: heap %d, input %d", mb, budget.HeapBytes, budget.Front.MaxInputBytes)
 		}
+		if budget.WorkBytes < 32*64<<10 || 2*(budget.WorkBytes+budget.Front.MaxInputBytes) > int(budget.HeapBytes) {
+			t.Errorf("%v MB: %d bytes of work, %d of input, heap %d", mb, budget.WorkBytes, budget.Front.MaxInputBytes, budget.HeapBytes)
+		}
 	}
 	if budget := NewBudget(Resources{1, 64, 384}, 10, 64<<10); budget.OpenRequests != 10 {
 		t.Errorf("%d open requests, the settings allow 10", budget.OpenRequests)
--- a/internal/edge/svc/server.go
+++ b/internal/edge/svc/server.go
@@ -17,7 +17,7 @@
 // Limits returns the limits of an answer, which consists of a value, a usage figure and a load report.
 func (ServerProtocol) Limits() resp.Limits {
 	lim := limits
-	lim.Command = 0
+	lim.Command, lim.Reply = 0, 3*MaxValueBytes+2*maxLineBytes
 	return lim
 }
 
--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -64,7 +64,8 @@
 	if len(unanswered) > 0 {
 		srv.core.Disconnected(unanswered)
 	}
-	conn.pending, conn.firstPending, conn.input = nil, 0, nil
+	conn.pending, conn.firstPending, conn.input, conn.unsent = nil, 0, nil, nil
+	conn.holdBytes(-conn.heldBytes)
 }
 
 // sweep closes connections whose command has been incomplete for too long, that have not logged in for too long, that have
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -40,9 +40,10 @@
 	closed           bool
 	closing          bool // close once all replies are written; no more input is processed
 
-	awaitingMemory  bool // reading is paused until the pool grants memory
-	readingPaused   bool // reading is paused, for any reason
-	firstUnanswered int  // while reading is paused: index in pending of the first command without an answer, as far as is known
+	awaitingMemory bool // reading is paused until the pool grants memory
+	readingPaused  bool // reading is paused, for any reason
+	heldBytes      int  // bytes of the server's memory budget that the connection's commands and replies hold
+	blockedBytes   int  // bytes that the next command needs of the budget, if parsing is paused for them; else 0
 
 	lingering      bool    // its sending side is closed; input is discarded until the client closes, too
 	discardedBytes int     // bytes discarded so far
@@ -58,10 +59,11 @@
 
 // pendingCommand is a command whose reply has not been written yet.
 type pendingCommand struct {
-	call  core.Call
-	conn  *clientConn
-	reply []byte // the reply, if it was made without the core
-	done  bool   // the reply or the core's answer is there
+	call      core.Call
+	conn      *clientConn
+	reply     []byte // the reply, if it was made without the core
+	done      bool   // the reply or the core's answer is there
+	heldBytes int    // its part of the connection's heldBytes
 }
 
 // pendingCount returns the number of commands whose replies have not been written.
@@ -113,7 +115,7 @@
 
 // parseBuffered continues parsing the input that was received before.
 func (conn *clientConn) parseBuffered() eventloop.Action {
-	conn.parsingPaused = false
+	conn.parsingPaused, conn.blockedBytes = false, 0
 	if conn.closing || len(conn.input) == 0 || len(conn.input) < conn.minInput {
 		return conn.writeReplies()
 	}
@@ -126,7 +128,7 @@
 	loop, srv := conn.loop, conn.loop.server
 	used := 0
 	var protocolErr error
-	conn.minInput, conn.parsingPaused = 0, false
+	conn.minInput, conn.parsingPaused, conn.blockedBytes = 0, false, 0
 	for used < len(data) && !conn.closing {
 		if conn.pendingCount() >= srv.options.Limits.MaxPipelined || len(loop.output) >= outputBatchBytes {
 			conn.parsingPaused = true
@@ -141,6 +143,10 @@
 			protocolErr = err
 			break
 		}
+		if needed := commandBytes(length); conn.pendingCount() > 0 && !srv.options.Memory.Fits(conn.heldBytes, needed) {
+			conn.parsingPaused, conn.blockedBytes = true, needed
+			break
+		}
 		used += length
 		if len(args) > 0 {
 			srv.commands.Add(1)
@@ -182,8 +188,8 @@
 	}
 	if conn.congested && len(conn.input) > 0 {
 		conn.parsingPaused = true
-	} else if conn.parsingPaused && conn.pendingCount() < srv.options.Limits.MaxPipelined {
-		// Parsing was paused only because the output batch was full.
+	} else if conn.parsingPaused && conn.pendingCount() < srv.options.Limits.MaxPipelined && conn.nextCommandFits() {
+		// Parsing was paused only because the output batch was full, or replies that are written now held the memory.
 		return conn.parseBuffered()
 	}
 	return conn.reserveInput()
@@ -191,23 +197,19 @@
 
 // resume continues after the pool has granted memory, the core has answered or the client has read replies.
 func (conn *clientConn) resume() eventloop.Action {
-	switch {
-	case conn.closed:
-		return eventloop.None
-	case conn.readingPaused:
-		for conn.firstUnanswered < len(conn.pending) && conn.pending[conn.firstUnanswered].done {
-			conn.firstUnanswered++
-		}
-		if !conn.awaitingMemory && !conn.congested && (!conn.parsingPaused ||
-			len(conn.pending)-conn.firstUnanswered <= conn.loop.server.options.Limits.MaxPipelined/2) {
-			return conn.resumeReading()
-		}
+	if conn.closed {
 		return eventloop.None
 	}
 	if action := conn.writeReplies(); action != eventloop.None || conn.congested {
 		return action
 	}
-	if conn.parsingPaused && conn.pendingCount() <= conn.loop.server.options.Limits.MaxPipelined/2 {
+	mayParse := conn.pendingCount() <= conn.loop.server.options.Limits.MaxPipelined/2 && conn.nextCommandFits()
+	switch {
+	case conn.awaitingMemory || conn.parsingPaused && !mayParse:
+		return eventloop.None
+	case conn.readingPaused:
+		return conn.resumeReading()
+	case conn.parsingPaused:
 		return conn.parseBuffered()
 	}
 	return eventloop.None
@@ -221,8 +223,7 @@
 	}
 	accepted := loop.server.core.Submit(loop.newCalls)
 	for _, call := range loop.newCalls[accepted:] {
-		command := call.Tag.(*pendingCommand)
-		call.Answer, command.done = core.Answer{Kind: core.Refused, Reason: core.Overloaded, Detail: "too many requests wait"}, true
+		call.Tag.(*pendingCommand).refuse("too many requests wait")
 	}
 	clear(loop.newCalls)
 	loop.newCalls = loop.newCalls[:0]
@@ -244,5 +245,11 @@
 		command.call.AgeS = conn.readAt - conn.inputSentAt
 	}
 	conn.pending = append(conn.pending, command)
+	if !command.reserve(commandBytes(len(call.Payload))) {
+		conn.loop.server.outOfMemory.Add(1)
+		command.refuse("no memory for the command")
+		command.hold(pendingOverheadBytes)
+		return
+	}
 	conn.loop.newCalls = append(conn.loop.newCalls, &command.call)
 }
--- a/internal/front/input.go
+++ b/internal/front/input.go
@@ -126,6 +126,11 @@
 	case needed <= conn.grantedBytes:
 		return eventloop.None
 	}
+	// A long command behind others takes no input memory while it would have to wait for these anyway.
+	if blocked := commandBytes(needed); conn.pendingCount() > 0 && !srv.options.Memory.Fits(conn.heldBytes, blocked) {
+		conn.parsingPaused, conn.blockedBytes = true, blocked
+		return conn.pauseReading()
+	}
 	if srv.reserveInput(conn, needed) == intake.Proceed {
 		conn.grantedBytes = needed
 		if conn.minInput > cap(conn.input) {
@@ -139,7 +144,7 @@
 
 // pauseReading pauses reading from the connection, so that TCP flow control makes the client wait.
 func (conn *clientConn) pauseReading() eventloop.Action {
-	conn.readingPaused, conn.firstUnanswered = true, conn.firstPending
+	conn.readingPaused = true
 	conn.loop.server.readsPaused.Add(1)
 	conn.socket.PauseReading()
 	return eventloop.None
@@ -153,8 +158,5 @@
 	if !conn.incompleteSince.IsZero() {
 		conn.incompleteSince = time.Now() // the delay was not the client's
 	}
-	if action := conn.writeReplies(); action != eventloop.None || conn.congested {
-		return action
-	}
 	return conn.parseBuffered()
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -68,13 +68,16 @@
 	for _, call := range batch {
 		command := call.Tag.(*pendingCommand)
 		command.done = true
-		if conn := command.conn; !conn.updated && !conn.closed {
+		conn := command.conn
+		if conn.closed {
+			continue
+		}
+		command.releasePayload()
+		if !conn.updated {
 			conn.updated = true
 			loop.updated = append(loop.updated, conn)
 		}
 	}
-	clear(batch)
-	loop.spareInbox = batch
 	for _, conn := range loop.updated {
 		conn.updated = false
 		if conn.closed {
@@ -84,6 +87,11 @@
 	}
 	clear(loop.updated)
 	loop.updated = loop.updated[:0]
+	for _, call := range batch {
+		call.Tag.(*pendingCommand).holdAnswer()
+	}
+	clear(batch)
+	loop.spareInbox = batch
 }
 
 // apply applies the action that resulted from work on a connection outside the callbacks of the event loop.
--- /dev/null
+++ b/internal/front/memory.go
@@ -0,0 +1,62 @@
+package front
+
+import "cometpond/internal/core"
+
+// pendingOverheadBytes is what a command holds besides its payload and its reply until the reply is written.
+const pendingOverheadBytes = 512
+
+// commandBytes returns what a command of that size holds of the memory budget: itself, and the copy that is sent to a server.
+func commandBytes(size int) int { return pendingOverheadBytes + 2*size }
+
+// nextCommandFits reports whether the command for which parsing is paused may be parsed. With no other command in progress it
+// may always be, and is refused if there is no memory for it: nothing else would end the pause.
+func (conn *clientConn) nextCommandFits() bool {
+	return conn.pendingCount() == 0 || conn.loop.server.options.Memory.Fits(conn.heldBytes, conn.blockedBytes)
+}
+
+// holdBytes changes the connection's part of the memory budget.
+func (conn *clientConn) holdBytes(bytes int) {
+	conn.heldBytes += bytes
+	conn.loop.server.options.Memory.Add(bytes)
+}
+
+// reserve takes bytes of the memory budget for the command, and reports false if they are not available.
+func (command *pendingCommand) reserve(bytes int) bool {
+	if !command.conn.loop.server.options.Memory.Reserve(command.conn.heldBytes, bytes) {
+		return false
+	}
+	command.conn.heldBytes += bytes
+	command.heldBytes += bytes
+	return true
+}
+
+// hold takes bytes of the memory budget for the command, even if it is exceeded.
+func (command *pendingCommand) hold(bytes int) {
+	command.conn.holdBytes(bytes)
+	command.heldBytes += bytes
+}
+
+// release gives back all that the command holds, because its reply is being written.
+func (command *pendingCommand) release() { command.hold(-command.heldBytes) }
+
+// releasePayload gives back what the command needed until the core answered it and dropped the payload.
+func (command *pendingCommand) releasePayload() {
+	command.hold(min(command.heldBytes, pendingOverheadBytes) - command.heldBytes)
+}
+
+// holdAnswer takes memory for an answer that can't be written yet, because replies before it are missing or unread. If there
+// is none the client gets an error in place of the answer.
+func (command *pendingCommand) holdAnswer() {
+	written := command.heldBytes == 0
+	if written || command.conn.closed || command.reserve(len(command.call.Answer.Payload)) {
+		return
+	}
+	command.conn.loop.server.outOfMemory.Add(1)
+	command.call.Answer = core.Answer{Kind: core.Failed, Detail: "no memory to keep the answer until those before it are there"}
+}
+
+// refuse answers a command without the core.
+func (command *pendingCommand) refuse(detail string) {
+	command.call.Payload = nil
+	command.call.Answer, command.done = core.Answer{Kind: core.Refused, Reason: core.Overloaded, Detail: detail}, true
+}
--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -36,6 +36,7 @@
 		if sent > 0 {
 			conn.unsentSince = time.Now()
 			conn.unsent = conn.unsent[:copy(conn.unsent, conn.unsent[sent:])]
+			conn.holdBytes(-sent)
 		}
 		if conn.congested = len(conn.unsent) > min(maxUnsentBytes, loop.server.options.Limits.MaxUnreadBytes/2); len(conn.unsent) > 0 {
 			loop.unsent = append(loop.unsent, conn)
@@ -63,7 +64,9 @@
 		conn.loop.output = put(conn.loop.output)
 		return
 	}
-	conn.pending = append(conn.pending, &pendingCommand{conn: conn, reply: put(nil), done: true})
+	command := &pendingCommand{conn: conn, reply: put(nil), done: true}
+	conn.pending = append(conn.pending, command)
+	command.hold(pendingOverheadBytes + len(command.reply))
 }
 
 // replyError replies to a command with an error.
@@ -102,6 +105,7 @@
 			loop.trackUnsent(conn)
 		}
 		conn.unsent = append(conn.unsent, data...)
+		conn.holdBytes(len(data))
 		conn.congested = len(conn.unsent) > min(maxUnsentBytes, loop.server.options.Limits.MaxUnreadBytes/2)
 	}
 	loop.output = loop.output[:0]
@@ -119,6 +123,7 @@
 	}
 	for conn.firstPending < len(conn.pending) && conn.pending[conn.firstPending].done && !conn.congested {
 		loop.output = conn.appendReply(loop.output, conn.pending[conn.firstPending])
+		conn.pending[conn.firstPending].release()
 		conn.pending[conn.firstPending] = nil
 		conn.firstPending++
 		if len(loop.output) >= outputBatchBytes {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -19,6 +19,7 @@
 	"cometpond/internal/eventloop"
 	"cometpond/internal/idleconn"
 	"cometpond/internal/intake"
+	"cometpond/internal/membudget"
 	"cometpond/internal/resp"
 )
 
@@ -68,6 +69,9 @@
 	// previous read from the connection, and readingPaused means that reading was paused on purpose since then. With nil
 	// the age of input is always 0.
 	InputAge func(readAt float64, readingPaused bool) (ageS, now float64)
+	// Memory bounds the commands in progress and the replies that are not written yet, over all connections. Complete input
+	// that is not parsed yet and incomplete commands are bounded by Limits. With nil there is no bound.
+	Memory *membudget.Budget
 	// FilterInput filters each chunk of input and returns the bytes to process; with nil all are processed. Fault injection
 	// uses it to lose input.
 	FilterInput func(data []byte) []byte
@@ -82,6 +86,7 @@
 	ReadsPaused                                      uint64 // times that reading from a connection was paused
 	Evicted                                          uint64 // idle connections closed to make room for new ones
 	Abandoned                                        uint64 // requests whose connection was closed by this side before the reply
+	OutOfMemory                                      uint64 // requests refused, and answers replaced by an error, because the memory budget was used up
 	Input                                            intake.Counts
 }
 
@@ -104,8 +109,8 @@
 
 	lingering atomic.Int64 // connections whose sending side this server has closed
 
-	nextID                                                                            atomic.Uint64
-	opened, open, commands, terminated, loginsDenied, readsPaused, evicted, abandoned atomic.Uint64
+	nextID                                                                                         atomic.Uint64
+	opened, open, commands, terminated, loginsDenied, readsPaused, evicted, abandoned, outOfMemory atomic.Uint64
 }
 
 // listenTimeout is how long Start keeps trying to listen on an address that is not available at once.
@@ -213,7 +218,7 @@
 	input := srv.inputPool.Counts()
 	srv.inputMu.Unlock()
 	return Counts{srv.opened.Load(), srv.open.Load(), srv.commands.Load(), srv.terminated.Load(), srv.loginsDenied.Load(),
-		srv.readsPaused.Load(), srv.evicted.Load(), srv.abandoned.Load(), input}
+		srv.readsPaused.Load(), srv.evicted.Load(), srv.abandoned.Load(), srv.outOfMemory.Load(), input}
 }
 
 // OnOpen accepts or rejects a new connection. It implements eventloop.Handler.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -20,6 +20,7 @@
 	"cometpond/internal/core"
 	"cometpond/internal/discovery"
 	"cometpond/internal/front"
+	"cometpond/internal/membudget"
 	"cometpond/internal/peer"
 	"cometpond/internal/rpc"
 	"cometpond/policy"
@@ -82,10 +83,11 @@
 	if loops == 0 {
 		loops = max(1, min(4, runtime.NumCPU()/2))
 	}
+	memory := membudget.New(workBytes(cfg.Front))
 	in.pool, err = backend.New(in.loop, backend.Options{
 		Dialect:     backend.RESP{Name: fmt.Sprintf("cometpond-%d", cfg.Self), LoadInReplies: cfg.Backend.LoadSource == "answer"},
 		Connections: cfg.Backend.MaxConnections, Pipeline: cfg.Backend.MaxPipelined, ConnectTimeout: cfg.Backend.ConnectTimeout,
-		Loops: max(1, loops/2), Log: options.Log.With().Str("part", "backend").Logger()})
+		Memory: memory, Loops: max(1, loops/2), Log: options.Log.With().Str("part", "backend").Logger()})
 	if err != nil {
 		return nil, err
 	}
@@ -141,7 +143,7 @@
 			return nil, err
 		}
 	}
-	in.front, err = front.Start(calls, front.Options{Listen: cfg.Listen, Loops: loops, Limits: cfg.Front, Registry: registry,
+	in.front, err = front.Start(calls, front.Options{Listen: cfg.Listen, Loops: loops, Limits: cfg.Front, Registry: registry, Memory: memory,
 		Info: in.Info, InputAge: in.pauses.InputAge, FilterInput: options.Hooks.FilterInput, Log: options.Log.With().Str("part", "front").Logger()})
 	if err != nil {
 		return nil, err
@@ -149,6 +151,13 @@
 	return in, nil
 }
 
+// minWorkBytes is the least memory for work in progress: some of the longest replies of servers.
+const minWorkBytes = 64 << 20
+
+// workBytes returns the memory for commands in progress, their replies, and incomplete replies of servers: several times
+// that for incomplete commands, as a command is in progress for longer than it takes to arrive.
+func workBytes(limits config.FrontLimits) int { return max(minWorkBytes, 4*limits.MaxInputBytes) }
+
 // rpcCore is the core as the gRPC front uses it. Calls pass through the same hook as those of the RESP front.
 type rpcCore struct {
 	front.Core
--- a/internal/resp/parse.go
+++ b/internal/resp/parse.go
@@ -17,6 +17,7 @@
 	Inline     int  // bytes of a line: an inline command, a header or a simple string
 	Depth      int  // levels of nested arrays, maps and sets in a reply
 	Command    int  // bytes of one command, 0: no limit
+	Reply      int  // bytes of one reply, 0: no limit
 	ArraysOnly bool // commands must be arrays; inline commands are an error
 }
 
@@ -223,6 +224,9 @@
 			if offset = next; size >= 0 {
 				offset = next + size + 2
 			}
+			if lim.Reply > 0 && offset > lim.Reply {
+				return 0, 0, ProtocolError("too big reply")
+			}
 			if offset > len(buf) {
 				return 0, offset, ErrIncomplete
 			}
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -96,6 +96,20 @@
 	}
 }
 
+// A reply is refused as soon as it announces more than a reply may have in all.
+func TestReplyLimit(t *testing.T) {
+	limits := Limits{Bulk: 10, Args: 8, Inline: 32, Depth: 2, Reply: 40}
+	if n, err := ReplyLength([]byte("*3\r\n$10\r\n0123456789\r\n$3\r\nabc\r\n:1\r\n"), limits); n != 34 || err != nil {
+		t.Errorf("%d, %v", n, err)
+	}
+	if _, err := ReplyLength([]byte("*3\r\n$10\r\n0123456789\r\n$10\r\n01234567"), limits); err != ErrIncomplete {
+		t.Error(err)
+	}
+	if _, err := ReplyLength([]byte("*3\r\n$10\r\n0123456789\r\n$10\r\n0123456789\r\n$10\r\n"), limits); err != ProtocolError("too big reply") {
+		t.Error(err)
+	}
+}
+
 func TestAppendDowngraded(t *testing.T) {
 	for in, want := range map[string]string{
 		"+OK\r\n": "+OK\r\n", "_\r\n": "$-1\r\n", "#t\r\n": ":1\r\n", "#f\r\n": ":0\r\n", ",1.5\r\n": "$3\r\n1.5\r\n",
