Let no half-sent command keep others unread, and count the time that input waits here

Cause: memory for incomplete commands is granted by the announced size and was kept until the command was given up after 2 s; those that wait for it waited without a limit, and the wait was not part of a request's age. The class: this end makes input wait, without a limit and without counting the wait.

Evidence: 40 commands of 50 kB fill the 2 MB; with 30 stopped clients 30 of 30 requests are served at once, with 60 3 of 30, and all that waited go on in the instant in which the first stopped ones are given up. The totals now show input_held, input_waiting and input_skipped.

Fix: a command that has had 0.1 s to arrive loses its memory when another one needs it, and none waits for longer; either is then read without being kept (resp.Skipper) and refused in its place. Bytes that lie unread or unparsed keep their time of arrival (intake.Arrivals), also behind a full pipeline or unread answers, so that a request over its time is refused and a server is told what is left. serve alike, 1 s.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -98,6 +98,9 @@
 	MaxUnreadBytes   int           // output that a client has not read
 	MaxInputBytes    int           // unfinished commands of all connections together, beyond 16 kB each
 	PartialTimeout   time.Duration // to receive a command completely, and to authenticate
+	// InputWait is how long a command waits for input memory, and how long one may take to arrive whose memory another one
+	// needs. Beyond it the command is refused. 0: no limit.
+	InputWait time.Duration
 }
 
 // GRPC holds the settings of the gRPC front.
@@ -155,7 +158,7 @@
 	cfg := &Config{DrainTimeout: 10 * time.Second, ThrottleClass: -1,
 		Rules: Rules{AnswerSlackS: 0.01, ColdStartShare: 0.2, ColdPeriodS: 15, OverloadMultiple: 2, OverloadWindowS: 1.5},
 		Front: FrontLimits{MaxConnections: 20000, MaxArgumentBytes: 512 << 10, MaxPipelined: 4096,
-			MaxUnreadBytes: 4 << 20, MaxInputBytes: 64 << 20, PartialTimeout: 10 * time.Second},
+			MaxUnreadBytes: 4 << 20, MaxInputBytes: 64 << 20, PartialTimeout: 10 * time.Second, InputWait: time.Second},
 		Backend: Backend{MaxConnections: 16, MaxPipelined: 8, ConnectTimeout: 250 * time.Millisecond,
 			LoadSource: "probe", MaxAttempts: 3, ParallelAttempts: true},
 	}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -318,7 +318,7 @@
 		return
 	case remainingS <= 0:
 		mach.counts.DeadlinePassed++
-		mach.refuse(call, 0, DeadlinePassed, "this instance stood still until the request's time was over")
+		mach.refuse(call, 0, DeadlinePassed, "the request's time was over before this instance read it")
 		return
 	case mach.openRequests >= mach.requestLimit:
 		mach.counts.Overloaded++
--- a/internal/edge/plan/budget.go
+++ b/internal/edge/plan/budget.go
@@ -64,6 +64,10 @@
 // take to send its first command. A client that sends no command must be disconnected within 3 s, so this is lower.
 const commandTimeout = 2 * time.Second
 
+// inputWait limits the time that a long command waits for memory to be received. It is part of the time that a client has
+// left, so it is short; a command of the maximum size arrives in a fraction of it over the platform's network.
+const inputWait = 100 * time.Millisecond
+
 // NewBudget distributes the resources. MaxOpenRequests is the limit of the settings on open requests, 0 for none;
 // maxValueBytes is the maximum size of one value.
 func NewBudget(resources Resources, maxOpenRequests, maxValueBytes int) Budget {
@@ -78,7 +82,7 @@
 	}
 	budget.IdleConnections = idleconn.DefaultLimits(budget.ClientConnections, commandTimeout.Seconds())
 	budget.Front = config.FrontLimits{MaxConnections: budget.ClientConnections, MaxArgumentBytes: maxValueBytes, MaxPipelined: 256, MaxUnreadBytes: 2 * maxValueBytes,
-		MaxInputBytes: memory / inputDivisor, PartialTimeout: commandTimeout}
+		MaxInputBytes: memory / inputDivisor, PartialTimeout: commandTimeout, InputWait: inputWait}
 	return budget
 }
 
--- a/internal/edge/trace.go
+++ b/internal/edge/trace.go
@@ -105,6 +105,7 @@
 		Int("held", status.OpenRequests).Int("waiting", status.QueuedCalls).Uint64("dials", pool.Dials).Uint64("dials_failed", pool.DialsFailed).
 		Uint64("broken", pool.AttemptsBroken).Int64("box_connections", pool.OpenConnections).Int("client_connections", ingress.front.OpenConnections()).
 		Uint64("opened", clients.Opened).Uint64("cut", clients.Terminated).Uint64("evicted", clients.Evicted).Uint64("parked", clients.ReadsPaused).
-		Uint64("ended_with_open_requests", clients.Abandoned).Int("memory_held", ingress.memory.Used()).
+		Uint64("ended_with_open_requests", clients.Abandoned).Int("input_held", clients.Input.GrantedBytes).
+		Int("input_waiting", clients.Input.Waiting).Uint64("input_skipped", clients.Skipped).Int("memory_held", ingress.memory.Used()).
 		Uint64("out_of_memory", clients.OutOfMemory).Uint64("replies_out_of_memory", pool.RepliesOutOfMemory).Msg("totals")
 }
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -155,6 +155,20 @@
 	return true
 }
 
+// UnreadBytes returns the number of bytes that can be read now, and false if the system can't tell.
+func (conn *Conn) UnreadBytes() (bytes int, known bool) {
+	for range maxImmediateAttempts {
+		n, err := unix.IoctlGetInt(conn.fd, unix.SIOCINQ)
+		if err == nil {
+			return n, true
+		}
+		if !syserr.Transient(err) {
+			break
+		}
+	}
+	return 0, false
+}
+
 // CloseWrite shuts down the sending side of the connection.
 func (conn *Conn) CloseWrite() (err error) {
 	for range maxImmediateAttempts {
--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -95,7 +95,10 @@
 }
 
 // idle reports whether a connection is settled and no command has begun to arrive.
-func (conn *clientConn) idle() bool { return conn.settled() && len(conn.input) == 0 }
+func (conn *clientConn) idle() bool { return conn.settled() && !conn.commandStarted() }
+
+// commandStarted reports whether a command has begun to arrive.
+func (conn *clientConn) commandStarted() bool { return len(conn.input) > 0 || conn.skipper != nil }
 
 // settled reports whether all commands of a connection have their replies, and the system has accepted these.
 func (conn *clientConn) settled() bool {
@@ -107,7 +110,7 @@
 	var candidate *clientConn
 	now, idleLimits := nowS(), loop.server.options.IdleLimits
 	for conn := range loop.conns {
-		conn.usage.CommandStarted = len(conn.input) > 0
+		conn.usage.CommandStarted = conn.commandStarted()
 		if conn.settled() && (!conn.usage.CommandStarted || conn.usage.Commands == 0) && idleLimits.Evictable(conn.usage, now) &&
 			(candidate == nil || idleLimits.EvictedBefore(conn.usage, candidate.usage)) {
 			candidate = conn
@@ -150,6 +153,7 @@
 		conn.readingPaused = false
 		conn.socket.ResumeReading() // to notice when the client closes
 	}
+	conn.skipper = nil
 	conn.lingering, conn.input, conn.incompleteSince, conn.lingerUntil = true, nil, time.Time{}, nowS()+maxLingerS
 	loop.server.lingering.Add(1)
 	loop.lingering = append(loop.lingering, conn)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -8,6 +8,7 @@
 	"cometpond/internal/core"
 	"cometpond/internal/eventloop"
 	"cometpond/internal/idleconn"
+	"cometpond/internal/intake"
 	"cometpond/internal/resp"
 )
 
@@ -30,13 +31,16 @@
 	readAt           float64             // when input last arrived
 	inputSentAt      float64             // when the input being parsed may have been sent, if before a pause of the process; else 0
 	lastReadSentAt   float64             // the same for the last read
+	arrivals         intake.Arrivals     // since when input that is not parsed yet has been waiting
+	skipper          *resp.Skipper       // reads a command that is not kept, nil if none
 	args             [][]byte            // arguments of a command, kept to reuse the memory
 	pending          []*pendingCommand   // commands whose replies have not been written, from firstPending on
 	firstPending     int
-	grantedBytes     int  // bytes of input that the pool has granted
-	bytesBeforeLogin int  // bytes of input that the pool counts for clients that have not logged in
-	parsingPaused    bool // parsing is paused with commands left in input
-	updated          bool // is in loop.updated
+	grantedBytes     int     // bytes of input that the pool has granted
+	bytesBeforeLogin int     // bytes of input that the pool counts for clients that have not logged in
+	commandAgeS      float64 // how long the command being handled has waited to be parsed, at most
+	parsingPaused    bool    // parsing is paused with commands left in input
+	updated          bool    // is in loop.updated
 	closed           bool
 	closing          bool // close once all replies are written; no more input is processed
 
@@ -97,6 +101,9 @@
 	if conn.closing {
 		return eventloop.None // input after the last command is ignored
 	}
+	if conn.skipper != nil {
+		return conn.skipInput(data)
+	}
 	src := data
 	if len(conn.input) > 0 {
 		conn.input = append(conn.input, data...)
@@ -126,7 +133,7 @@
 // keeps the rest.
 func (conn *clientConn) parseInput(data []byte) eventloop.Action {
 	loop, srv := conn.loop, conn.loop.server
-	used := 0
+	used, now := 0, nowS()
 	var protocolErr error
 	conn.minInput, conn.parsingPaused, conn.blockedBytes = 0, false, 0
 	for used < len(data) && !conn.closing {
@@ -148,6 +155,7 @@
 			break
 		}
 		used += length
+		conn.commandAgeS = now - conn.arrivals.Parse(now, length)
 		if len(args) > 0 {
 			srv.commands.Add(1)
 			conn.usage.Commands++
@@ -172,13 +180,13 @@
 	if conn.closing || protocolErr != nil {
 		used = len(data) // input after the last command is ignored
 	}
+	if !conn.parsingPaused {
+		conn.arrivals.ParsedAll()
+	}
 	conn.input = resp.Unprocessed(conn.input, data, used, min(conn.minInput, readBufferBytes))
 	conn.submitCalls()
 	if protocolErr != nil {
-		srv.terminated.Add(1)
-		conn.closing = true
-		conn.setReason(protocolViolation)
-		conn.replyWith(func(b []byte) []byte { return resp.AppendError(b, "ERR "+protocolErr.Error()) })
+		conn.rejectInput(protocolErr)
 	}
 	if action := loop.writeOutput(conn); action != eventloop.None {
 		return action
@@ -195,6 +203,14 @@
 	return conn.reserveInput()
 }
 
+// rejectInput replies with an error to input that violates the protocol. The connection is closed after the reply.
+func (conn *clientConn) rejectInput(err error) {
+	conn.loop.server.terminated.Add(1)
+	conn.closing = true
+	conn.setReason(protocolViolation)
+	conn.replyWith(func(b []byte) []byte { return resp.AppendError(b, "ERR "+err.Error()) })
+}
+
 // resume continues after the pool has granted memory, the core has answered or the client has read replies.
 func (conn *clientConn) resume() eventloop.Action {
 	if conn.closed {
@@ -237,6 +253,10 @@
 	conn.replyWith(func(b []byte) []byte { return append(b, reply...) })
 }
 
+// minCommandAgeS is the time that a command may wait to be parsed without being counted: it is parsed in the turn of the
+// event loop in which it was read.
+const minCommandAgeS = 0.002
+
 // enqueueCall queues a call for submission to the core and reserves its place in the order of replies.
 func (conn *clientConn) enqueueCall(call core.Call) {
 	command := &pendingCommand{call: call, conn: conn}
@@ -244,6 +264,9 @@
 	if conn.inputSentAt > 0 {
 		command.call.AgeS = conn.readAt - conn.inputSentAt
 	}
+	if conn.commandAgeS > minCommandAgeS {
+		command.call.AgeS = max(command.call.AgeS, conn.commandAgeS)
+	}
 	conn.pending = append(conn.pending, command)
 	if !command.reserve(commandBytes(len(call.Payload))) {
 		conn.loop.server.outOfMemory.Add(1)
--- a/internal/front/input.go
+++ b/internal/front/input.go
@@ -22,18 +22,29 @@
 func (srv *Server) reserveInput(conn *clientConn, bytes int) intake.Decision {
 	srv.inputMu.Lock()
 	defer srv.inputMu.Unlock()
-	verdict, others := srv.inputPool.Acquire(nowS(), conn.id, bytes)
-	if verdict == intake.Wait {
-		srv.awaitingInput[conn.id] = conn
+	decision, others := srv.inputPool.Acquire(nowS(), conn.id, bytes)
+	if decision != intake.Disconnect {
+		srv.holdingInput[conn.id] = conn
+	}
+	if decision == intake.Wait && srv.options.Limits.InputWait > 0 {
+		conn.loop.eventLoop.After(srv.options.Limits.InputWait, srv.tickInput)
 	}
 	srv.resumeGranted(others)
-	return verdict
+	return decision
+}
+
+// tickInput grants input memory, and has those skip their command that have waited or kept others waiting for too long.
+func (srv *Server) tickInput() {
+	srv.inputMu.Lock()
+	defer srv.inputMu.Unlock()
+	srv.resumeGranted(srv.inputPool.Tick(nowS()))
 }
 
 // releaseInput returns a connection's memory to the pool.
 func (srv *Server) releaseInput(conn *clientConn) {
 	srv.inputMu.Lock()
 	defer srv.inputMu.Unlock()
+	delete(srv.holdingInput, conn.id)
 	srv.resumeGranted(srv.inputPool.Release(nowS(), conn.id))
 }
 
@@ -41,19 +52,25 @@
 func (srv *Server) removeFromPool(conn *clientConn) {
 	srv.inputMu.Lock()
 	defer srv.inputMu.Unlock()
-	delete(srv.awaitingInput, conn.id)
+	delete(srv.holdingInput, conn.id)
 	srv.resumeGranted(srv.inputPool.Remove(nowS(), conn.id))
 }
 
-// resumeGranted notifies connections, each on its own loop, that the pool has granted their requests. The caller holds inputMu.
+// resumeGranted notifies connections, each on its own loop, that the pool has granted their requests, and others that they
+// must skip their command. The caller holds inputMu.
 func (srv *Server) resumeGranted(ids []uint64) {
 	for _, id := range ids {
-		conn := srv.awaitingInput[id]
-		delete(srv.awaitingInput, id)
-		if conn != nil {
+		if conn := srv.holdingInput[id]; conn != nil {
 			_ = conn.loop.eventLoop.Execute(func() { conn.loop.inputGranted(conn) }) // an error means that the loops are ending
 		}
 	}
+	for _, id := range srv.inputPool.TakeSkipped() {
+		conn := srv.holdingInput[id]
+		delete(srv.holdingInput, id)
+		if conn != nil {
+			_ = conn.loop.eventLoop.Execute(func() { conn.loop.inputRevoked(conn) }) // an error means that the loops are ending
+		}
+	}
 }
 
 // inputGranted resumes a connection whose request for memory was granted.
@@ -62,6 +79,9 @@
 		loop.server.removeFromPool(conn) // it was closed while the notification was on its way
 		return
 	}
+	if !conn.awaitingMemory {
+		return // the grant was revoked and the command skipped while the notification was on its way
+	}
 	conn.awaitingMemory = false
 	conn.grantedBytes = max(len(conn.input), conn.minInput)
 	if !conn.incompleteSince.IsZero() {
@@ -144,7 +164,11 @@
 
 // pauseReading pauses reading from the connection, so that TCP flow control makes the client wait.
 func (conn *clientConn) pauseReading() eventloop.Action {
+	if conn.readingPaused {
+		return eventloop.None
+	}
 	conn.readingPaused = true
+	conn.arrivals.PauseReading(nowS())
 	conn.loop.server.readsPaused.Add(1)
 	conn.socket.PauseReading()
 	return eventloop.None
@@ -153,6 +177,11 @@
 // resumeReading resumes reading from the connection.
 func (conn *clientConn) resumeReading() eventloop.Action {
 	conn.readingPaused = false
+	unread, known := conn.socket.UnreadBytes()
+	if !known {
+		unread = intake.UnknownBytes
+	}
+	conn.arrivals.ResumeReading(nowS(), unread)
 	conn.socket.ResumeReading()
 	conn.recordInputAge(true)
 	if !conn.incompleteSince.IsZero() {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -86,6 +86,7 @@
 	ReadsPaused                                      uint64 // times that reading from a connection was paused
 	Evicted                                          uint64 // idle connections closed to make room for new ones
 	Abandoned                                        uint64 // requests whose connection was closed by this side before the reply
+	Skipped                                          uint64 // commands refused because they waited for input memory, or kept it from others, for too long
 	OutOfMemory                                      uint64 // requests refused, and answers replaced by an error, because the memory budget was used up
 	Input                                            intake.Counts
 }
@@ -103,14 +104,15 @@
 
 	loops map[*eventloop.Loop]*connLoop
 
-	inputMu       sync.Mutex // guards inputPool and awaitingInput
-	inputPool     *intake.Pool
-	awaitingInput map[uint64]*clientConn // connections that wait for the pool to grant them memory
+	inputMu      sync.Mutex // guards inputPool and holdingInput
+	inputPool    *intake.Pool
+	holdingInput map[uint64]*clientConn // connections that have a grant of the pool or wait for one
 
 	lingering atomic.Int64 // connections whose sending side this server has closed
 
-	nextID                                                                                         atomic.Uint64
-	opened, open, commands, terminated, loginsDenied, readsPaused, evicted, abandoned, outOfMemory atomic.Uint64
+	nextID                                                                 atomic.Uint64
+	opened, open, commands, terminated, loginsDenied, readsPaused, evicted atomic.Uint64
+	abandoned, skipped, outOfMemory                                        atomic.Uint64
 }
 
 // listenTimeout is how long Start keeps trying to listen on an address that is not available at once.
@@ -119,7 +121,7 @@
 // Start listens on the address in options and serves clients until Stop.
 func Start(target Core, options Options) (*Server, error) {
 	srv := &Server{options: options, core: target, stopSweeper: make(chan struct{}),
-		loops: map[*eventloop.Loop]*connLoop{}, awaitingInput: map[uint64]*clientConn{}}
+		loops: map[*eventloop.Loop]*connLoop{}, holdingInput: map[uint64]*clientConn{}}
 	srv.limitToDescriptors()
 	srv.parserLimits = resp.DefaultLimits
 	srv.parserLimits.Bulk, srv.parserLimits.Command = options.Limits.MaxArgumentBytes, options.Limits.MaxArgumentBytes+maxPipelinedBytes
@@ -127,7 +129,8 @@
 		srv.parserLimits = options.Handler.Limits()
 	}
 	srv.inputPool = intake.New(intake.Limits{FreeBytes: readBufferBytes, TotalBytes: max(options.Limits.MaxInputBytes, options.Limits.MaxArgumentBytes),
-		ReserveBytes: srv.parserLimits.Command, UnauthenticatedBytes: max(options.Limits.MaxInputBytes/4, maxBytesBeforeLogin), MaxOvertakeS: overtakeLimitS})
+		ReserveBytes: srv.parserLimits.Command, UnauthenticatedBytes: max(options.Limits.MaxInputBytes/4, maxBytesBeforeLogin), MaxOvertakeS: overtakeLimitS,
+		MaxWaitS: options.Limits.InputWait.Seconds()})
 	var err error
 	if srv.loopGroup, err = eventloop.New(srv, eventloop.Options{Loops: options.Loops, ReadBuffer: readBufferBytes,
 		CloseOnPeerShutdown: options.CloseOnClientEOF, Log: options.Log}); err != nil {
@@ -218,7 +221,7 @@
 	input := srv.inputPool.Counts()
 	srv.inputMu.Unlock()
 	return Counts{srv.opened.Load(), srv.open.Load(), srv.commands.Load(), srv.terminated.Load(), srv.loginsDenied.Load(),
-		srv.readsPaused.Load(), srv.evicted.Load(), srv.abandoned.Load(), srv.outOfMemory.Load(), input}
+		srv.readsPaused.Load(), srv.evicted.Load(), srv.abandoned.Load(), srv.skipped.Load(), srv.outOfMemory.Load(), input}
 }
 
 // OnOpen accepts or rejects a new connection. It implements eventloop.Handler.
@@ -273,6 +276,7 @@
 		data = srv.options.FilterInput(data)
 	}
 	conn.recordInputAge(false)
+	conn.arrivals.Read(nowS(), len(data), len(data) >= readBufferBytes)
 	loop := conn.loop
 	loop.setPolling(true)
 	action := conn.handleInput(data)
@@ -298,9 +302,7 @@
 			return
 		case <-tick.C:
 		}
-		srv.inputMu.Lock()
-		srv.resumeGranted(srv.inputPool.Tick(nowS()))
-		srv.inputMu.Unlock()
+		srv.tickInput()
 		srv.sweepLoops()
 	}
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -281,7 +281,7 @@
 		section("Clients", "connections", counts.Open, "connections_total", counts.Opened, "connections_cut", counts.Terminated,
 			"commands", counts.Commands,
 			"logins_denied", counts.LoginsDenied, "connections_parked", counts.ReadsPaused, "input_held", counts.Input.GrantedBytes,
-			"input_waiting", counts.Input.Waiting,
+			"input_waiting", counts.Input.Waiting, "input_skipped", counts.Skipped, "out_of_memory", counts.OutOfMemory,
 			"input_strangers", counts.Input.UnauthenticatedBytes)
 	}
 	if in.rpc != nil {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,10 +8,16 @@
 // memory of its arguments one after the other, so connections that hold memory for one argument while they wait for
 // the next could block each other. Therefore the connection that has waited longest may use Limits.ReserveBytes,
 // which is kept for one connection at a time.
+//
+// With Limits.MaxWaitS no connection waits for longer: a client that announces a command and does not send it must not keep
+// others unread. A connection whose command has not arrived that long after its grant loses the grant as soon as another
+// one needs it, and one that has waited that long gives up. The commands of both are skipped: read without being kept,
+// and refused. Connections that skip a command hold no memory.
 package intake
 
 import (
 	"container/heap"
+	"math"
 	"slices"
 )
 
@@ -22,6 +28,7 @@
 	ReserveBytes         int     // beyond TotalBytes, for one connection at a time: the size of the largest command
 	UnauthenticatedBytes int     // of all connections that have not authenticated
 	MaxOvertakeS         float64 // seconds after which no other connection overtakes a waiting one
+	MaxWaitS             float64 // seconds that a connection may wait, or keep a grant that another one needs; 0: no limit
 }
 
 // Decision is the answer to a connection that needs memory for input.
@@ -37,11 +44,13 @@
 // Pool holds the grants of all connections and the connections that wait for one. It is not safe for concurrent use.
 type Pool struct {
 	lim                  Limits
-	granted              map[uint64]int // bytes by connection
-	used                 int            // bytes of TotalBytes in use
-	reserveHolder        uint64         // the connection that uses the reserve, 0: none
-	reserveUsed          int            // bytes of the reserve in use
-	unauthenticated      map[uint64]int // bytes by connection
+	granted              map[uint64]int     // bytes by connection
+	grantedAt            map[uint64]float64 // time of a connection's first grant since its last release
+	skipped              []uint64           // connections that must skip their command, for TakeSkipped
+	used                 int                // bytes of TotalBytes in use
+	reserveHolder        uint64             // the connection that uses the reserve, 0: none
+	reserveUsed          int                // bytes of the reserve in use
+	unauthenticated      map[uint64]int     // bytes by connection
 	unauthenticatedBytes int
 	waiting              map[uint64]*waiter
 	bySize               sizeHeap
@@ -58,7 +67,7 @@
 
 // New returns an empty pool.
 func New(lim Limits) *Pool {
-	return &Pool{lim: lim, granted: map[uint64]int{}, unauthenticated: map[uint64]int{}, waiting: map[uint64]*waiter{}}
+	return &Pool{lim: lim, granted: map[uint64]int{}, grantedAt: map[uint64]float64{}, unauthenticated: map[uint64]int{}, waiting: map[uint64]*waiter{}}
 }
 
 // HoldUnauthenticated decides whether a connection that has not authenticated may hold that many bytes, and records
@@ -127,6 +136,7 @@
 	}
 	pool.used -= bytes
 	delete(pool.granted, id)
+	delete(pool.grantedAt, id)
 }
 
 func (pool *Pool) removeWaiter(w *waiter) {
@@ -134,9 +144,56 @@
 	delete(pool.waiting, w.id)
 }
 
+// TakeSkipped returns the connections that must skip their command, because they have waited too long or have lost their
+// grant to others, and forgets them. They hold nothing any more. It must be called after each method that can grant.
+func (pool *Pool) TakeSkipped() []uint64 {
+	skipped := pool.skipped
+	pool.skipped = nil
+	return skipped
+}
+
+// Tracks reports whether a connection holds a grant or waits for one.
+func (pool *Pool) Tracks(id uint64) bool { return pool.granted[id] > 0 || pool.waiting[id] != nil }
+
 // Tick grants what is possible now and returns the connections that may continue. It must be called once a second
-// while any connection waits.
+// while any connection waits, and when one has waited for Limits.MaxWaitS.
 func (pool *Pool) Tick(now float64) (granted []uint64) {
+	granted = pool.grantWaiting(now)
+	if pool.lim.MaxWaitS <= 0 {
+		return granted
+	}
+	for len(pool.bySize) > 0 && pool.revokeSlowest(now) {
+		granted = append(granted, pool.grantWaiting(now)...)
+	}
+	for _, w := range slices.Clone(pool.bySize) {
+		if now-w.since >= pool.lim.MaxWaitS {
+			pool.removeWaiter(w)
+			pool.releaseGrant(w.id)
+			pool.skipped = append(pool.skipped, w.id)
+		}
+	}
+	return append(granted, pool.grantWaiting(now)...)
+}
+
+// revokeSlowest takes back the oldest grant, if its command has had Limits.MaxWaitS to arrive, and reports whether it did.
+// Connections that wait for more keep their grant until they give up.
+func (pool *Pool) revokeSlowest(now float64) bool {
+	slowest, oldest := uint64(0), math.Inf(1)
+	for id, at := range pool.grantedAt {
+		if pool.waiting[id] == nil && (at < oldest || at == oldest && id < slowest) {
+			slowest, oldest = id, at
+		}
+	}
+	if slowest == 0 || now-oldest < pool.lim.MaxWaitS {
+		return false
+	}
+	pool.releaseGrant(slowest)
+	pool.skipped = append(pool.skipped, slowest)
+	return true
+}
+
+// grantWaiting grants what is possible now and returns the connections that may continue.
+func (pool *Pool) grantWaiting(now float64) (granted []uint64) {
 	for len(pool.bySize) > 0 {
 		for pool.byAge[0].index < 0 {
 			pool.byAge[0] = nil
@@ -161,6 +218,9 @@
 			return granted
 		}
 		pool.granted[next.id] = next.total
+		if _, granted := pool.grantedAt[next.id]; !granted {
+			pool.grantedAt[next.id] = now
+		}
 		pool.removeWaiter(next)
 		granted = append(granted, next.id)
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -159,3 +159,106 @@
 		}
 	})
 }
+
+// A command that does not arrive loses its memory as soon as it has had its time and another command needs it.
+func TestSlowestGrantIsRevokedForOthers(t *testing.T) {
+	limits := testLimits
+	limits.MaxWaitS = 0.5
+	pool := New(limits)
+	if acquire(t, pool, 0, 1, 50) != Proceed || acquire(t, pool, 0.2, 2, 50) != Proceed || acquire(t, pool, 0.3, 3, 40) != Wait {
+		t.Fatal("two commands fit")
+	}
+	if got := pool.Tick(0.4); got != nil || pool.TakeSkipped() != nil {
+		t.Fatal("revoked too early")
+	}
+	if got := pool.Tick(0.5); !reflect.DeepEqual(got, []uint64{3}) || !reflect.DeepEqual(pool.TakeSkipped(), []uint64{1}) {
+		t.Fatal(got)
+	}
+	if acquire(t, pool, 0.8, 4, 40) != Proceed { // the second one has had its time as well
+		t.Fatal("must not wait for a command that has had its time")
+	}
+	if got := pool.TakeSkipped(); !reflect.DeepEqual(got, []uint64{2}) || pool.Tracks(2) || !pool.Tracks(4) {
+		t.Fatal(got)
+	}
+}
+
+// A command that has waited for its time gives up, and with it the memory of its earlier arguments.
+func TestWaitIsLimited(t *testing.T) {
+	limits := testLimits
+	limits.MaxWaitS = 0.5
+	pool := New(limits)
+	if acquire(t, pool, 0, 1, 60) != Proceed || acquire(t, pool, 0, 2, 30) != Proceed || acquire(t, pool, 0.01, 2, 60) != Wait ||
+		acquire(t, pool, 0.01, 1, 90) != Wait {
+		t.Fatal("their second arguments do not fit")
+	}
+	pool.Tick(0.51)
+	if got := pool.TakeSkipped(); len(got) == 0 || pool.Counts().Waiting != 0 {
+		t.Fatalf("%v skip, %+v", got, pool.Counts())
+	}
+}
+
+// With a limit on waits nobody waits for longer, the grants stay within the limits, and only those lose a grant or give up
+// that have had their time.
+func TestLimitedWaitsAgainstModel(t *testing.T) {
+	limits := testLimits
+	limits.MaxWaitS = 0.5
+	rapid.Check(t, func(t *rapid.T) {
+		pool, now := New(limits), 0.0
+		granted, grantedAt := map[uint64]int{}, map[uint64]float64{}
+		waiting, waitingSince := map[uint64]int{}, map[uint64]float64{}
+		settle := func(ids []uint64) {
+			for _, id := range ids {
+				if waiting[id] == 0 {
+					t.Fatalf("connection %d was granted although it did not wait", id)
+				}
+				if granted[id] == 0 {
+					grantedAt[id] = now
+				}
+				granted[id] = waiting[id]
+				delete(waiting, id)
+			}
+			for _, id := range pool.TakeSkipped() {
+				if waiting[id] > 0 && now-waitingSince[id] < limits.MaxWaitS || waiting[id] == 0 && now-grantedAt[id] < limits.MaxWaitS {
+					t.Fatalf("connection %d skips its command too early", id)
+				}
+				delete(waiting, id)
+				delete(granted, id)
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += rapid.Float64Range(0, 0.3).Draw(t, "time")
+			id := rapid.Uint64Range(1, 8).Draw(t, "id")
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0, 1:
+				bytes := granted[id] + rapid.IntRange(11, 40).Draw(t, "bytes")
+				if waiting[id] > 0 || bytes > 60 {
+					break
+				}
+				waiting[id], waitingSince[id] = bytes, now
+				decision, others := pool.Acquire(now, id, bytes)
+				if decision == Proceed {
+					others = append(others, id)
+				}
+				settle(others)
+			case 2:
+				if waiting[id] == 0 {
+					delete(granted, id)
+					settle(pool.Release(now, id))
+				}
+			}
+			settle(pool.Tick(now))
+			sum := 0
+			for _, bytes := range granted {
+				sum += bytes
+			}
+			if counts := pool.Counts(); counts.GrantedBytes != sum || counts.Waiting != len(waiting) || sum > limits.TotalBytes+limits.ReserveBytes {
+				t.Fatalf("%+v, granted %v, waiting %v", counts, granted, waiting)
+			}
+			for id := range waiting {
+				if now-waitingSince[id] >= limits.MaxWaitS {
+					t.Fatalf("connection %d has waited since %v, it is %v", id, waitingSince[id], now)
+				}
+			}
+		}
+	})
+}
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -154,3 +154,33 @@
 		args, _, _, _ = ParseCommand(buf, args[:0], DefaultLimits)
 	}
 }
+
+// However a command is split, skipping it reads as many bytes as parsing it, and rejects what parsing rejects.
+func TestSkipperAgreesWithParser(t *testing.T) {
+	limits := Limits{Bulk: 300, Args: 6, Inline: 40, Command: 700, ArraysOnly: true}
+	for _, input := range []string{"*0\r\nrest", "*1\r\n$4\r\nPING\r\nrest", "*2\r\n$0\r\n\r\n$300\r\n" + strings.Repeat("x", 300) + "\r\n*1\r\n",
+		"*5\r\n$3\r\nabc\r\n$2\r\n\r\n\r\n$1\r\n$\r\n$1\r\n*\r\n$100\r\n" + strings.Repeat("y", 100) + "\r\n", "PING\r\n", "*7\r\n", "*x\r\n",
+		"*1\r\n$301\r\n", "*1\r\n$-1\r\n", "*1\r\n:5\r\n", "*" + strings.Repeat("1", 50) + "\r\n",
+		"*3\r\n$300\r\n" + strings.Repeat("x", 300) + "\r\n$300\r\n" + strings.Repeat("x", 300) + "\r\n$300\r\n" + strings.Repeat("x", 300) + "\r\n"} {
+		_, length, _, wantErr := ParseCommand([]byte(input), nil, limits)
+		for size := 1; size <= len(input); size++ {
+			skipper, total, complete := NewSkipper(limits), 0, false
+			var err error
+			for rest := []byte(input); len(rest) > 0 && !complete && err == nil; {
+				piece := rest[:min(size, len(rest))]
+				var used int
+				used, complete, err = skipper.Skip(piece)
+				total += used
+				rest = rest[len(piece):]
+			}
+			if (err != nil) != (wantErr != nil) || err == nil && (!complete || total != length) {
+				t.Fatalf("%q in pieces of %d: skipped %d, complete %v, %v; parsed %d, %v", input, size, total, complete, err, length, wantErr)
+			}
+		}
+	}
+	inline := limits
+	inline.ArraysOnly = false
+	if used, complete, err := NewSkipper(inline).Skip([]byte("PING a b\r\nPING")); used != 10 || !complete || err != nil {
+		t.Error(used, complete, err)
+	}
+}
