Keep no long input buffer behind a connection's back, and size reads by memory and connections

Cause, by heap profiles: clientConn.args was cleared to its length alone, so that slices of earlier commands kept input buffers of 64 kB (145 of them, where grants allowed 34); the rest after a long command stayed in its buffer though the grant was given back; 16 to 32 kB of input need no grant, for each of 491 connections; an open request costs the core more than the 512 bytes that were counted.

Fix: args are cleared to their capacity, the rest moves to a buffer of its size, a blocked connection asks for memory before it reads on, the size of a read follows memory and connections (2 to 16 kB), a request counts with 2.5 kB, and one command may take half of what is free, so that short ones fit where long ones do not. The time that a command may take to arrive begins anew with each command of a grant.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -98,6 +98,7 @@
 	MaxUnreadBytes   int           // output that a client has not read
 	MaxInputBytes    int           // unfinished commands of all connections together, beyond 16 kB each
 	PartialTimeout   time.Duration // to receive a command completely, and to authenticate
+	ReadBytes        int           // size of one read, which arrives before any limit can be applied; 0: 16 kB
 	// InputWait is how long a command waits for input memory, and how long one may take to arrive whose memory another one
 	// needs. Beyond it the command is refused. 0: no limit.
 	InputWait time.Duration
--- a/internal/edge/plan/budget.go
+++ b/internal/edge/plan/budget.go
@@ -60,6 +60,12 @@
 	inputDivisor = 16
 )
 
+// Bounds of the size of one read, which each client connection may keep of an incomplete command without asking.
+const (
+	minReadBytes = 2 << 10
+	maxReadBytes = 16 << 10
+)
+
 // commandTimeout limits the time from the first to the last byte of a command, and the time that a new connection may
 // take to send its first command. A client that sends no command must be disconnected within 3 s, so this is lower.
 const commandTimeout = 2 * time.Second
@@ -82,7 +88,8 @@
 	}
 	budget.IdleConnections = idleconn.DefaultLimits(budget.ClientConnections, commandTimeout.Seconds())
 	budget.Front = config.FrontLimits{MaxConnections: budget.ClientConnections, MaxArgumentBytes: maxValueBytes, MaxPipelined: 256, MaxUnreadBytes: 2 * maxValueBytes,
-		MaxInputBytes: memory / inputDivisor, PartialTimeout: commandTimeout, InputWait: inputWait}
+		MaxInputBytes: memory / inputDivisor, PartialTimeout: commandTimeout, InputWait: inputWait,
+		ReadBytes: min(max(memory/inputDivisor/budget.ClientConnections, minReadBytes), maxReadBytes)}
 	return budget
 }
 
--- a/internal/edge/plan/plan_test.go
+++ b/internal/edge/plan/plan_test.go
@@ -31,6 +31,12 @@
 		if budget.WorkBytes < 32*64<<10 || 2*(budget.WorkBytes+budget.Front.MaxInputBytes) > int(budget.HeapBytes) {
 			t.Errorf("%v MB: %d bytes of work, %d of input, heap %d", mb, budget.WorkBytes, budget.Front.MaxInputBytes, budget.HeapBytes)
 		}
+		for _, sockets := range []int{MinSockets, 256, 1024} { // each connection keeps two reads at most without asking
+			budget := NewBudget(Resources{1, mb, sockets}, 20000, 64<<10)
+			if reads := 2 * budget.ClientConnections * budget.Front.ReadBytes; reads > int(mb)<<20/6 || budget.Front.ReadBytes < 1<<10 {
+				t.Errorf("%v MB, %d descriptors: reads of %d bytes, %d in all", mb, sockets, budget.Front.ReadBytes, reads)
+			}
+		}
 	}
 	if budget := NewBudget(Resources{1, 64, 384}, 10, 64<<10); budget.OpenRequests != 10 {
 		t.Errorf("%d open requests, the settings allow 10", budget.OpenRequests)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -123,10 +123,16 @@
 // parseBuffered continues parsing the input that was received before.
 func (conn *clientConn) parseBuffered() eventloop.Action {
 	conn.parsingPaused, conn.blockedBytes = false, 0
-	if conn.closing || len(conn.input) == 0 || len(conn.input) < conn.minInput {
+	if conn.closing || len(conn.input) == 0 {
 		return conn.writeReplies()
 	}
-	return conn.parseInput(conn.input)
+	if len(conn.input) >= conn.minInput {
+		return conn.parseInput(conn.input)
+	}
+	if action := conn.writeReplies(); action != eventloop.None || conn.lingering {
+		return action
+	}
+	return conn.reserveInput()
 }
 
 // parseInput parses and starts the commands at the beginning of data, which is conn.input or the data of the last read, and
@@ -169,10 +175,13 @@
 			break
 		}
 	}
-	clear(conn.args)
+	clear(conn.args[:cap(conn.args)]) // also those of earlier commands, which would keep the whole input
 	if used > 0 {
 		conn.usage.LastUsedAtS = nowS()
 		conn.incompleteSince, conn.inputSentAt = time.Time{}, conn.lastReadSentAt // the rest is from the last read
+		if conn.grantedBytes > 0 {
+			srv.renewInput(conn) // what is left of the grant is for the next command
+		}
 	}
 	if conn.minInput > 0 && conn.incompleteSince.IsZero() {
 		conn.incompleteSince = time.Now()
@@ -183,7 +192,7 @@
 	if !conn.parsingPaused {
 		conn.arrivals.ParsedAll()
 	}
-	conn.input = resp.Unprocessed(conn.input, data, used, min(conn.minInput, readBufferBytes))
+	conn.input = resp.Unprocessed(conn.input, data, used, min(conn.minInput, srv.readBytes))
 	conn.submitCalls()
 	if protocolErr != nil {
 		conn.rejectInput(protocolErr)
--- a/internal/front/input.go
+++ b/internal/front/input.go
@@ -48,6 +48,13 @@
 	srv.resumeGranted(srv.inputPool.Release(nowS(), conn.id))
 }
 
+// renewInput records that the command for which a connection was granted memory is complete, and another one begins.
+func (srv *Server) renewInput(conn *clientConn) {
+	srv.inputMu.Lock()
+	defer srv.inputMu.Unlock()
+	srv.inputPool.Renew(nowS(), conn.id)
+}
+
 // removeFromPool removes a connection from the pool, with the memory that it holds and any request for more.
 func (srv *Server) removeFromPool(conn *clientConn) {
 	srv.inputMu.Lock()
@@ -92,7 +99,7 @@
 
 // Limits of the input that one connection may hold, in bytes but for maxArgsBeforeLogin.
 const (
-	readBufferBytes     = 16 << 10 // size of one read, which arrives before any limit can be applied
+	readBufferBytes     = 16 << 10 // size of one read where the limits state none
 	maxBytesBeforeLogin = 16 << 10 // size of a command before login
 	maxArgsBeforeLogin  = 10       // arguments of a command before login
 	// Size of a command, or of commands pipelined ahead of replies, in excess of one argument of the maximum size.
@@ -135,9 +142,10 @@
 	}
 	needed := max(len(conn.input), conn.minInput)
 	switch {
-	case needed <= readBufferBytes:
+	case needed <= srv.readBytes:
 		if conn.grantedBytes > 0 {
 			conn.grantedBytes = 0
+			conn.input = append(make([]byte, 0, needed), conn.input...) // the buffer was granted with the memory
 			srv.releaseInput(conn)
 		}
 		return eventloop.None
--- a/internal/front/memory.go
+++ b/internal/front/memory.go
@@ -2,11 +2,15 @@
 
 import "cometpond/internal/core"
 
-// pendingOverheadBytes is what a command holds besides its payload and its reply until the reply is written.
-const pendingOverheadBytes = 512
+// What a command holds besides its payload and its reply, in bytes.
+const (
+	pendingOverheadBytes = 512     // until its reply is written
+	requestOverheadBytes = 2 << 10 // in the core and its policy module as well, until it is answered
+)
 
-// commandBytes returns what a command of that size holds of the memory budget: itself, and the copy that is sent to a server.
-func commandBytes(size int) int { return pendingOverheadBytes + 2*size }
+// commandBytes returns what a command of that size holds of the memory budget: itself, the copy that is sent to a server,
+// and what is kept of it in either case.
+func commandBytes(size int) int { return pendingOverheadBytes + requestOverheadBytes + 2*size }
 
 // nextCommandFits reports whether the command for which parsing is paused may be parsed. With no other command in progress it
 // may always be, and is refused if there is no memory for it: nothing else would end the pause.
--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -85,6 +85,7 @@
 	client := connect(t, addr, true)
 	waitFor(t, func() bool { return srv.Counts().OutOfMemory > 0 })
 	client.expect(submit("two", 60_000, false), "-REFUSED no memory for the command\r\n")
+	client.expect(submit("short", 10, false), "+did short\r\n")
 	client.expect("PING\r\n", "+PONG\r\n")
 	for len(fake.held) > 0 {
 		answerCall(<-fake.held, core.Answer{Payload: []byte("+ok\r\n")})
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -96,6 +97,7 @@
 	options      Options
 	core         Core
 	parserLimits resp.Limits
+	readBytes    int // size of one read
 	loopGroup    *eventloop.Group
 	rejectingNew atomic.Bool
 	closingIdle  atomic.Bool
@@ -123,16 +125,17 @@
 	srv := &Server{options: options, core: target, stopSweeper: make(chan struct{}),
 		loops: map[*eventloop.Loop]*connLoop{}, holdingInput: map[uint64]*clientConn{}}
 	srv.limitToDescriptors()
+	srv.readBytes = cmp.Or(options.Limits.ReadBytes, readBufferBytes)
 	srv.parserLimits = resp.DefaultLimits
 	srv.parserLimits.Bulk, srv.parserLimits.Command = options.Limits.MaxArgumentBytes, options.Limits.MaxArgumentBytes+maxPipelinedBytes
 	if options.Handler != nil {
 		srv.parserLimits = options.Handler.Limits()
 	}
-	srv.inputPool = intake.New(intake.Limits{FreeBytes: readBufferBytes, TotalBytes: max(options.Limits.MaxInputBytes, options.Limits.MaxArgumentBytes),
+	srv.inputPool = intake.New(intake.Limits{FreeBytes: srv.readBytes, TotalBytes: max(options.Limits.MaxInputBytes, options.Limits.MaxArgumentBytes),
 		ReserveBytes: srv.parserLimits.Command, UnauthenticatedBytes: max(options.Limits.MaxInputBytes/4, maxBytesBeforeLogin), MaxOvertakeS: overtakeLimitS,
 		MaxWaitS: options.Limits.InputWait.Seconds()})
 	var err error
-	if srv.loopGroup, err = eventloop.New(srv, eventloop.Options{Loops: options.Loops, ReadBuffer: readBufferBytes,
+	if srv.loopGroup, err = eventloop.New(srv, eventloop.Options{Loops: options.Loops, ReadBuffer: srv.readBytes,
 		CloseOnPeerShutdown: options.CloseOnClientEOF, Log: options.Log}); err != nil {
 		return nil, fmt.Errorf("front: %w", err)
 	}
@@ -276,7 +279,7 @@
 		data = srv.options.FilterInput(data)
 	}
 	conn.recordInputAge(false)
-	conn.arrivals.Read(nowS(), len(data), len(data) >= readBufferBytes)
+	conn.arrivals.Read(nowS(), len(data), len(data) >= srv.readBytes)
 	loop := conn.loop
 	loop.setPolling(true)
 	action := conn.handleInput(data)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -45,7 +45,7 @@
 type Pool struct {
 	lim                  Limits
 	granted              map[uint64]int     // bytes by connection
-	grantedAt            map[uint64]float64 // time of a connection's first grant since its last release
+	grantedAt            map[uint64]float64 // time of a connection's first grant for its current command
 	skipped              []uint64           // connections that must skip their command, for TakeSkipped
 	used                 int                // bytes of TotalBytes in use
 	reserveHolder        uint64             // the connection that uses the reserve, 0: none
@@ -115,6 +115,13 @@
 	return pool.Tick(now)
 }
 
+// Renew has the time that a granted command may take to arrive begin anew, because another command uses the grant.
+func (pool *Pool) Renew(now float64, id uint64) {
+	if _, granted := pool.grantedAt[id]; granted {
+		pool.grantedAt[id] = now
+	}
+}
+
 // Remove forgets a connection. It returns the connections that may continue now.
 func (pool *Pool) Remove(now float64, id uint64) []uint64 {
 	_ = pool.HoldUnauthenticated(id, 0)
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -1,9 +1,10 @@
 // Package membudget bounds the memory that the work of many holders takes together, such as the commands and answers of
 // connections. It has no I/O, no clock and no goroutine.
 //
-// A holder that has nothing may take what is free. One that has something may take more only from the first half of the
-// budget, and only while its total does not exceed what is free there (a dynamic threshold, as in shared packet buffers).
-// However many holders take all they can, the second half therefore stays free for those that have nothing.
+// The limits are dynamic thresholds, as in shared packet buffers. A holder that has nothing may take half of what is free, so
+// that where long work no longer fits there is room for short work. One that has something may take more only from the first
+// half of the budget, and only while its total does not exceed what is free there. However many holders take all they can,
+// the second half therefore stays free for those that have nothing.
 package membudget
 
 import "sync/atomic"
@@ -24,7 +25,7 @@
 
 func (budget *Budget) fits(used int64, heldBytes, bytes int) bool {
 	if heldBytes == 0 {
-		return used+int64(bytes) <= budget.limit
+		return used+2*int64(bytes) <= budget.limit
 	}
 	return int64(heldBytes)+int64(bytes) <= budget.limit/2-used
 }
