Record arrivals within 1 ms together, so that a command's age is over-stated by 2 ms at most

TestAgeInAnEndlessPipeline: a command of batch 109 counted as 4.3 ms old and was answered within 2.3 ms. Cause: unread and unparsed bytes are recorded one after the other, and each record took arrivals within 2 ms together. The test's resolution stays 2 ms.

--- a/internal/intake/arrival.go
+++ b/internal/intake/arrival.go
@@ -18,8 +18,9 @@
 	at    float64
 }
 
-// maxSeparateS is how far the arrivals of bytes may be apart that are recorded together, with the earlier time.
-const maxSeparateS = 0.002
+// maxSeparateS is how far the arrivals of bytes may be apart that are recorded together, with the earlier time: once while
+// they are unread, and once while they are not parsed.
+const maxSeparateS = 0.001
 
 // maxArrivals bounds the records for one connection; beyond it further bytes count as old as the last ones.
 const maxArrivals = 256
