--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/rig2"
 mkdir -p ../../bin
-GOFLAGS= GOPROXY=off go build -o ../../bin/rig2 .
+CGO_ENABLED=0 GOFLAGS= GOPROXY=off go build -o ../../bin/rig2 .
--- a/review/rig2/backend.go
+++ b/review/rig2/backend.go
@@ -26,8 +26,6 @@
 type Reply struct {
 	After time.Duration // time at work
 	Line  string        // an error line in place of a value, without its end
-	Body  string        // the value, in place of one that names the request
-	Copy  time.Duration // above 0: a second copy of the answer follows after this time if nothing waits on the connection then
 }
 
 // Backend is a stand-in for a backend of the platform. It speaks RESP2 as the protocol page says: requests on a connection
@@ -38,7 +36,6 @@
 	handle  func(Arrival) Reply
 	mu      sync.Mutex
 	conns   map[net.Conn]bool
-	copies  int
 	arrived []Arrival
 }
 
@@ -87,13 +84,10 @@
 type answer struct {
 	ready chan struct{}
 	text  []byte
-	copy  time.Duration
 }
 
 func (b *Backend) serve(c net.Conn) {
 	order := make(chan *answer, 1024)
-	var mu sync.Mutex // guards waiting and orders the writes
-	waiting := 0      // requests, also begun ones, without their whole answer
 	closed := make(chan struct{})
 	defer func() {
 		close(closed)
@@ -110,23 +104,7 @@
 			case <-closed:
 				return
 			}
-			mu.Lock()
 			_, _ = c.Write(a.text)
-			waiting--
-			if a.copy > 0 {
-				text := a.text
-				time.AfterFunc(a.copy, func() {
-					mu.Lock()
-					defer mu.Unlock()
-					if waiting == 0 && !unread(c) {
-						_, _ = c.Write(text)
-						b.mu.Lock()
-						b.copies++
-						b.mu.Unlock()
-					}
-				})
-			}
-			mu.Unlock()
 		}
 	}()
 	var in []byte
@@ -152,9 +130,6 @@
 			}
 			in = append([]byte(nil), in[used:]...)
 			a := &answer{ready: make(chan struct{})}
-			mu.Lock()
-			waiting++
-			mu.Unlock()
 			order <- a
 			b.begin(a, words, first, now)
 			first = now
@@ -197,15 +172,10 @@
 	b.arrived = append(b.arrived, arrival)
 	b.mu.Unlock()
 	reply := b.handle(arrival)
-	value := valueOf(arrival.ID)
-	if reply.Body != "" {
-		value = reply.Body
-	}
-	text := "*3\r\n" + bulk(value) + "$-1\r\n$-1\r\n"
+	text := "*3\r\n" + bulk(valueOf(arrival.ID)) + "$-1\r\n$-1\r\n"
 	if reply.Line != "" {
 		text = reply.Line + "\r\n"
 	}
-	a.copy = reply.Copy
 	time.AfterFunc(reply.After, func() { say(text) })
 }
 
--- a/review/rig2/drain.go
+++ b/review/rig2/drain.go
@@ -8,7 +8,6 @@
 )
 
 func init() {
-	cases["slow-discovery"] = slowDiscovery
 	cases["stall"] = stall
 	cases["outage"] = outage
 }
@@ -56,52 +55,6 @@
 // slowSocket is the allowance of the protocol page: every time limit is longer by 50 ms.
 const slowSocket = 50 * time.Millisecond
 
-// slowDiscovery: discovery answers every call 0.3 s late. A backend drains.
-func slowDiscovery() bool {
-	slow := time.Duration(0)
-	if trouble {
-		slow = 300 * time.Millisecond
-	}
-	f := startFleet(rayon, 2, 8, 96, 512, slow, func(_, _ int, _ Arrival) Reply {
-		return Reply{After: 30*time.Millisecond + time.Duration(rand.ExpFloat64()*float64(20*time.Millisecond))}
-	})
-	var counts tally
-	stop, done := make(chan struct{}), make(chan bool)
-	for i := range f.Ingresses {
-		go func() {
-			f.load(i, 40, "zone-check", "chaine", 20, 2*time.Second, &counts, stop)
-			done <- true
-		}()
-	}
-	time.Sleep(time.Second)
-	drained, version := f.Hosts[0][0].Host, 0
-	changed := time.Now()
-	for _, d := range f.Discovery {
-		version = d.Set(drained, "DRAINING")
-	}
-	say("%s: discovery has it that %s drains", stamp(changed), drained)
-	time.Sleep(11 * time.Second)
-	close(stop)
-	for range f.Ingresses {
-		<-done
-	}
-	f.noteArrivals()
-	late := 0
-	for i, d := range f.Discovery {
-		told := changed.Add(6 * time.Second) // at the latest
-		if at, ok := d.WrittenAt(version); ok {
-			say("n%d: the change was written to it at %s", i, stamp(at))
-			if at.Before(told) {
-				told = at
-			}
-		}
-		late += f.checkDrain(i, 0, told)
-	}
-	f.noteCalls()
-	say("requests: %v", counts.kinds)
-	return late > 0
-}
-
 // checkDrain counts the sends of each ingress to a draining host later than the rule allows. at is when it was told.
 func (f *Fleet) checkDrain(ingress, host int, at time.Time) (late int) {
 	last := at.Add(time.Duration(f.Site.DrainS*float64(time.Second)) + slowSocket)
@@ -131,7 +84,7 @@
 // stall: three of four ingresses stand still now and then. Each time a backend begins to drain meanwhile.
 func stall() bool {
 	const rounds, hosts = 8, 20
-	f := startFleet(portal, 4, hosts, 96, 512, 0, func(_, _ int, _ Arrival) Reply {
+	f := startFleet(portal, 4, hosts, 96, 512, func(_, _ int, _ Arrival) Reply {
 		return Reply{After: 40*time.Millisecond + time.Duration(rand.ExpFloat64()*float64(30*time.Millisecond))}
 	})
 	var counts tally
@@ -191,7 +144,7 @@
 // outage: discovery is down for 13 s, four times. At each return it tells that two backends drain.
 func outage() bool {
 	const rounds, hosts = 4, 14
-	f := startFleet(rayon, 3, hosts, 96, 512, 0, func(_, _ int, _ Arrival) Reply {
+	f := startFleet(rayon, 3, hosts, 96, 512, func(_, _ int, _ Arrival) Reply {
 		return Reply{After: 30*time.Millisecond + time.Duration(rand.ExpFloat64()*float64(20*time.Millisecond))}
 	})
 	var counts tally
--- a/review/rig2/leave.go
+++ b/review/rig2/leave.go
@@ -16,10 +16,10 @@
 	const rounds, commands, size = 5, 300, 8 << 10
 	var mu sync.Mutex
 	draw := rand.New(rand.NewPCG(7, 11))
-	f := startFleet(chaguanas, 2, 12, 96, 512, 0, func(_, _ int, a Arrival) Reply {
+	f := startFleet(chaguanas, 2, 12, 96, 512, func(_, _ int, a Arrival) Reply {
 		mu.Lock()
 		defer mu.Unlock()
-		return Reply{After: 50*time.Millisecond + time.Duration(draw.ExpFloat64()*float64(200*time.Millisecond))}
+		return Reply{After: 80*time.Millisecond + time.Duration(draw.ExpFloat64()*float64(250*time.Millisecond))}
 	})
 	var counts tally
 	stop, done := make(chan struct{}), make(chan bool)
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -87,3 +87,10 @@
 	}
 	say("the rule held")
 }
+
+// raw writes a line to the record without the time.
+func raw(format string, values ...any) {
+	recordMu.Lock()
+	defer recordMu.Unlock()
+	fmt.Fprintf(recordFile, format+"\n", values...)
+}
--- a/review/rig2/platform.go
+++ b/review/rig2/platform.go
@@ -29,8 +29,7 @@
 
 // Discovery is a stand-in for the agent that tells the list of backends, by long poll.
 type Discovery struct {
-	ln    net.Listener
-	delay time.Duration // an answer is written so much later than it could be
+	ln net.Listener
 
 	mu        sync.Mutex
 	seq       int
@@ -42,12 +41,12 @@
 	down      bool // silent: calls that come meanwhile are never answered
 }
 
-func startDiscovery(seq int, delay time.Duration, hosts []Host) *Discovery {
+func startDiscovery(seq int, hosts []Host) *Discovery {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		cannotRun("discovery: %v", err)
 	}
-	d := &Discovery{ln: ln, delay: delay, seq: seq, hosts: append([]Host(nil), hosts...), changedAt: map[string]int{},
+	d := &Discovery{ln: ln, seq: seq, hosts: append([]Host(nil), hosts...), changedAt: map[string]int{},
 		changed: make(chan struct{}), written: map[int]time.Time{}}
 	server := &http.Server{Handler: http.HandlerFunc(d.serve)}
 	go func() { _ = server.Serve(ln) }()
@@ -111,13 +110,6 @@
 		<-r.Context().Done()
 		return
 	}
-	if d.delay > 0 {
-		select {
-		case <-time.After(d.delay):
-		case <-r.Context().Done():
-			return
-		}
-	}
 	d.mu.Lock()
 	list := map[string]any{"seq": d.seq, "whole": !watch}
 	hosts := []Host{}
@@ -311,11 +303,11 @@
 	return list
 }
 
-// noteArrivals writes to the record what has run.
+// noteArrivals writes to the record what has run: id, backend, ingress and time of arrival.
 func (f *Fleet) noteArrivals() {
 	for i := range f.Ingresses {
 		for _, a := range f.arrivals(i) {
-			note("ran %s %s on %s from n%d at %s, told to answer within %.3f s", a.Class, a.ID, a.Backend, i, stamp(a.LastByte), a.Left.Seconds())
+			raw("ran %s %s n%d %s", a.ID, a.Backend, i, stamp(a.LastByte))
 		}
 	}
 }
--- a/review/rig2/sites.go
+++ b/review/rig2/sites.go
@@ -138,7 +138,7 @@
 func hostName(n int) string { return fmt.Sprintf("s-%08x", 0x5be20000+n*77) }
 
 // startFleet starts the stand-ins and the ingresses.
-func startFleet(site Site, ingresses, hosts, memoryMB, sockets int, slow time.Duration, handle func(ingress, host int, a Arrival) Reply) *Fleet {
+func startFleet(site Site, ingresses, hosts, memoryMB, sockets int, handle func(ingress, host int, a Arrival) Reply) *Fleet {
 	f := &Fleet{Site: site}
 	var peers []string
 	for range ingresses {
@@ -154,7 +154,7 @@
 				Block: h % len(site.Zones), Health: "SERVING", Share: 1})
 		}
 		f.Backends, f.Hosts = append(f.Backends, backends), append(f.Hosts, list)
-		f.Discovery = append(f.Discovery, startDiscovery(41, slow, list))
+		f.Discovery = append(f.Discovery, startDiscovery(41, list))
 		f.Configs = append(f.Configs, Config{Name: fmt.Sprint("n", i), Discovery: f.Discovery[i].Addr(), Settings: site.settings(i, ingresses),
 			Known: list, KnownSeq: 41, MemoryMB: memoryMB, Sockets: sockets, Peers: peers, PeerListen: peers[i]})
 	}
--- a/review/rig2/term.go
+++ b/review/rig2/term.go
@@ -12,7 +12,7 @@
 // termInStall: ingresses are told to end, one after another. Each stands still for less than 2 s just then.
 func termInStall() bool {
 	const killAfter = 3700 * time.Millisecond // 3 s for the longest deadline, and 0.7 s
-	f := startFleet(portal, 3, 12, 96, 512, 0, func(_, _ int, _ Arrival) Reply {
+	f := startFleet(portal, 3, 12, 96, 512, func(_, _ int, _ Arrival) Reply {
 		return Reply{After: 60*time.Millisecond + time.Duration(rand.ExpFloat64()*float64(80*time.Millisecond))}
 	})
 	var counts tally
