--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -2,4 +2,5 @@
 # Discovery is down for 13 s, and backends drain at its return; are they left alone in time?
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")" || exit 2
+[ -x ../../bin/rig2 ] || { echo "could not run: review/build-2.sh has not been run"; exit 2; }
 exec ../../bin/rig2 outage ../.. record.txt
--- a/review/rig2/platform.go
+++ b/review/rig2/platform.go
@@ -188,7 +188,11 @@
 	return ""
 }
 
-var ingresses []*Ingress
+var (
+	ingressesMu sync.Mutex
+	ingresses   []*Ingress // all that were started
+	ending      bool       // none is started any more
+)
 
 // startIngress starts an ingress by the deploy file and waits until it answers PING.
 func startIngress(cfg Config) *Ingress {
@@ -206,10 +210,18 @@
 		cannotRun("log: %v", err)
 	}
 	in.cmd.Stdout, in.cmd.Stderr = log, log
-	if err := in.cmd.Start(); err != nil {
+	ingressesMu.Lock()
+	if ending {
+		select {} // the case is ending
+	}
+	err = in.cmd.Start()
+	if err == nil {
+		ingresses = append(ingresses, in)
+	}
+	ingressesMu.Unlock()
+	if err != nil {
 		cannotRun("starting the ingress: %v", err)
 	}
-	ingresses = append(ingresses, in)
 	go func() {
 		_ = in.cmd.Wait()
 		close(in.exited)
@@ -259,12 +271,14 @@
 
 // endAll ends all ingresses.
 func endAll() {
-	for _, in := range ingresses {
+	ingressesMu.Lock()
+	ending = true
+	started := ingresses
+	ingressesMu.Unlock()
+	for _, in := range started {
 		in.signal(syscall.SIGCONT)
 		in.signal(syscall.SIGKILL)
-		if in.cmd != nil && in.cmd.Process != nil {
-			<-in.exited
-		}
+		<-in.exited
 	}
 }
 
