Build and test on arm64: fault injection knows each architecture's system calls

Need: bash test.sh failed at go vet on arm64, as unix.SYS_EPOLL_WAIT does not exist there, and the seccomp filter compared with AUDIT_ARCH_X86_64 alone, so that no call was ever trapped on arm64.

Change: the table of calls and the architecture of the filter stand in files with build constraints; Supported tells whether an architecture has a call, and Start returns an UnsupportedCallError for one that it lacks. Injections that meet no call now fail their test: both tests of broken connections, the reload and log tests and the soak did not look before. On x86-64 the event loop waits with epoll_wait, which no test let fail; TestInterruptedEventLoopClosesNothing does, and says on arm64 that the call does not exist there.

--- a/internal/edge/faults_test.go
+++ b/internal/edge/faults_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -262,6 +263,26 @@
 	}
 }
 
+// maxLoads is how often runLoadUnder runs its load, at most.
+const maxLoads = 20
+
+// runLoadUnder runs a load under a fault, and checks its results. It runs the load again while the fault has not occurred, and
+// fails the test if it never occurs.
+func (ingress *faultyIngress) runLoadUnder(fault faults.Fault, clients int, duration time.Duration, check func(results *loadResults)) {
+	ingress.t.Helper()
+	before := ingress.Counts()[fault.Call]
+	for range maxLoads {
+		ingress.Set(fault)
+		results := runLoad(ingress.addr, clients, duration)
+		ingress.Set()
+		check(results)
+		if ingress.Counts()[fault.Call] > before {
+			return
+		}
+	}
+	ingress.t.Errorf("%s never failed with %v in %d loads: the fault was not tested", fault.Call, fault.Errno, maxLoads)
+}
+
 // withErrnos returns copies of a fault, one for each of the errors.
 func withErrnos(fault faults.Fault, errnos ...unix.Errno) (list []faults.Fault) {
 	for _, e := range errnos {
@@ -346,6 +367,14 @@
 	withFaults(t, []faults.Call{faults.EpollPwait}, 1, withErrnos(faults.Fault{Call: faults.EpollPwait, Probability: 0.2}, unix.EINTR)...)
 }
 
+// The event loop waits with epoll_wait where the architecture has it, and the Go runtime with epoll_pwait.
+func TestInterruptedEventLoopClosesNothing(t *testing.T) {
+	if !faults.Supported(faults.EpollWait) {
+		t.Skipf("%s has no epoll_wait, so no program calls it there; the event loop calls epoll_pwait", runtime.GOARCH)
+	}
+	withFaults(t, []faults.Call{faults.EpollWait}, 1, withErrnos(faults.Fault{Call: faults.EpollWait, Probability: 0.2}, unix.EINTR)...)
+}
+
 func TestFailingRegistrationLosesNoConnection(t *testing.T) {
 	withFaults(t, []faults.Call{faults.EpollCtl}, 1, withErrnos(faults.Fault{Call: faults.EpollCtl, Target: faults.Sockets, Probability: 0.2},
 		unix.ENOMEM, unix.ENOSPC)...)
@@ -380,10 +409,7 @@
 	for _, call := range []faults.Call{faults.Read, faults.Write} {
 		for _, fault := range withErrnos(faults.Fault{Call: call, Target: faults.Sockets, Port: at, Probability: 0.05, BreakConnection: true}, unix.ETIMEDOUT,
 			unix.EHOSTUNREACH, unix.ECONNRESET, unix.EPIPE) {
-			ingress.Set(fault)
-			results := runLoad(ingress.addr, 4, faultDuration/2)
-			ingress.Set()
-			results.check(t, 0)
+			ingress.runLoadUnder(fault, 4, faultDuration/2, func(results *loadResults) { results.check(t, 0) })
 		}
 	}
 	received.check(t)
@@ -398,13 +424,12 @@
 		for _, fault := range withErrnos(faults.Fault{Call: call, Target: faults.Sockets, Port: port(t, ingress.addr), Probability: 0.02, BreakConnection: true},
 			unix.ETIMEDOUT, unix.EHOSTUNREACH) {
 			before := ingress.Counts()[call]
-			ingress.Set(fault)
-			results := runLoad(ingress.addr, 4, faultDuration/2)
-			ingress.Set()
-			if broken := ingress.Counts()[call] - before; len(results.lost) > broken || results.wrong > 0 || len(results.dialErrors) > 0 {
-				t.Errorf("%s broken %d times with %v: %d requests lost, %d wrong answers, %d connections not opened", call, broken, fault.Errno,
-					len(results.lost), results.wrong, len(results.dialErrors))
-			}
+			ingress.runLoadUnder(fault, 4, faultDuration/2, func(results *loadResults) {
+				if broken := ingress.Counts()[call] - before; len(results.lost) > broken || results.wrong > 0 || len(results.dialErrors) > 0 {
+					t.Errorf("%s broken %d times with %v: %d requests lost, %d wrong answers, %d connections not opened", call, broken,
+						fault.Errno, len(results.lost), results.wrong, len(results.dialErrors))
+				}
+			})
 		}
 	}
 	received.check(t)
@@ -451,6 +476,9 @@
 		if len(next.discovery.Calls()) > 0 {
 			t.Fatal("the new configuration was read during the fault, so the fault was not tested")
 		}
+		if fault.Call != "" && ingress.Counts()[fault.Call] == 0 {
+			t.Errorf("%s never failed with %v: the fault was not tested", fault.Call, fault.Errno)
+		}
 		ingress.Set()
 		if err := os.WriteFile(ingress.config, whole, 0o600); err != nil {
 			t.Fatal(err)
@@ -482,6 +510,9 @@
 		ingress := startLogging(t, newPlatform(t, 2, answerNow), writer, []faults.Call{faults.Write}, at...)
 		writer.Close()
 		runLoad(ingress.addr, 4, faultDuration).check(t, 1)
+		if len(at) > 0 && ingress.Counts()[faults.Write] == 0 {
+			t.Error("write never failed: the fault was not tested")
+		}
 		if t.Failed() {
 			t.Fatalf("with the log fault: %s", fault)
 		}
--- a/internal/edge/soak_test.go
+++ b/internal/edge/soak_test.go
@@ -74,6 +74,9 @@
 		}
 		t.Errorf("%s: %s", violation.Rule, violation.Text)
 	}
+	if record.Injections > 0 && record.FailedCalls == 0 {
+		t.Errorf("no call failed in %d injections: the faults were not tested", record.Injections)
+	}
 	if record.Served*2 < record.Sent {
 		t.Errorf("%d of %d requests served", record.Served, record.Sent)
 	}
--- a/internal/faults/inject.go
+++ b/internal/faults/inject.go
@@ -13,38 +13,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// Call is the name of a system call.
-type Call string
-
-// The system calls that Start can trap.
-const (
-	Accept     Call = "accept4"
-	Bind       Call = "bind"
-	Connect    Call = "connect"
-	Fcntl      Call = "fcntl" // the Go runtime duplicates descriptors with F_DUPFD_CLOEXEC
-	EpollCtl   Call = "epoll_ctl"
-	EpollWait  Call = "epoll_wait"
-	EpollPwait Call = "epoll_pwait"
-	Fsync      Call = "fsync"
-	Getsockopt Call = "getsockopt"
-	Open       Call = "openat"
-	Read       Call = "read"
-	Recvfrom   Call = "recvfrom"
-	Rename     Call = "renameat"
-	Setsockopt Call = "setsockopt"
-	Shutdown   Call = "shutdown"
-	Socket     Call = "socket"
-	Write      Call = "write"
-)
-
-// callNumbers maps each call to its number on this architecture.
-var callNumbers = map[Call]int{
-	Accept: unix.SYS_ACCEPT4, Bind: unix.SYS_BIND, Connect: unix.SYS_CONNECT, Fcntl: unix.SYS_FCNTL, EpollCtl: unix.SYS_EPOLL_CTL,
-	EpollWait: unix.SYS_EPOLL_WAIT, EpollPwait: unix.SYS_EPOLL_PWAIT, Fsync: unix.SYS_FSYNC, Getsockopt: unix.SYS_GETSOCKOPT,
-	Open: unix.SYS_OPENAT, Read: unix.SYS_READ, Recvfrom: unix.SYS_RECVFROM, Rename: unix.SYS_RENAMEAT,
-	Setsockopt: unix.SYS_SETSOCKOPT, Shutdown: unix.SYS_SHUTDOWN, Socket: unix.SYS_SOCKET, Write: unix.SYS_WRITE,
-}
-
 // Target selects calls by the object they act on. It is a part of the object's path, or of the link in /proc/PID/fd.
 type Target string
 
@@ -224,7 +192,7 @@
 	defer in.mu.Unlock()
 	for i := range in.faults {
 		f := &in.faults[i]
-		if int(n.number) != callNumbers[f.Call] || f.MaxCount > 0 && in.remaining[i] == 0 || in.rng.Float64() >= f.Probability {
+		if callNumbers[f.Call] != uint32(n.number) || f.MaxCount > 0 && in.remaining[i] == 0 || in.rng.Float64() >= f.Probability {
 			continue
 		}
 		if whole := f.Burst + f.Pause; f.Burst > 0 && time.Since(in.setAt)%whole >= f.Burst {
--- a/internal/faults/launch.go
+++ b/internal/faults/launch.go
@@ -96,7 +96,7 @@
 	end := func(action uint32) unix.SockFilter {
 		return unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: action}
 	}
-	program := []unix.SockFilter{load(offsetArch), skipUnless(unix.AUDIT_ARCH_X86_64, uint8(2*len(calls)+1)), load(offsetNumber)}
+	program := []unix.SockFilter{load(offsetArch), skipUnless(auditArchitecture, uint8(2*len(calls)+1)), load(offsetNumber)}
 	for _, n := range calls {
 		program = append(program, skipUnless(n, 1), end(unix.SECCOMP_RET_USER_NOTIF))
 	}
@@ -116,7 +116,8 @@
 }
 
 // Start launches a command whose program calls Trap, and returns the Injector that supervises the given calls. The faults
-// apply from the start of the program until Set replaces them.
+// apply from the start of the program until Set replaces them. The error is an UnsupportedCallError for a call that this
+// architecture lacks.
 func Start(cmd *exec.Cmd, calls []Call, first ...Fault) (*Injector, error) {
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
@@ -124,19 +125,19 @@
 	}
 	ours, theirs := pair[0], os.NewFile(uintptr(pair[1]), "listener")
 	defer unix.Close(ours)
-	var names []string
+	var numbers []string
 	for _, c := range calls {
 		n, known := callNumbers[c]
 		if !known {
 			theirs.Close()
-			return nil, fmt.Errorf("faults: unknown system call %q", c)
+			return nil, &UnsupportedCallError{c}
 		}
-		names = append(names, strconv.Itoa(n))
+		numbers = append(numbers, strconv.FormatUint(uint64(n), 10))
 	}
 	if cmd.Env == nil {
 		cmd.Env = os.Environ()
 	}
-	cmd.Env = append(cmd.Env, trapVariable+"="+strings.Join(names, ","))
+	cmd.Env = append(cmd.Env, trapVariable+"="+strings.Join(numbers, ","))
 	cmd.ExtraFiles = []*os.File{theirs}
 	err = cmd.Start()
 	theirs.Close()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -30,6 +30,7 @@
 type Report struct {
 	Violations   []Violation
 	Sent, Served int
+	Injections   int      // how often an ingress was told which of its system calls fail
 	FailedCalls  int      // system calls that were made to fail
 	Events       []string // the events of the run with their times
 	Logs         []string // the last part of each ingress's log
@@ -44,6 +45,7 @@
 	ingressList []*ingress
 	end         time.Time
 	lastID      atomic.Uint64
+	injections  atomic.Int64
 	background  sync.WaitGroup // faults that end by themselves, in the background
 
 	mu          sync.Mutex
@@ -87,7 +89,7 @@
 	err := f.play(o)
 	failed := f.stop()
 	f.resolveDrains()
-	r := &Report{FailedCalls: failed, Events: f.record.events}
+	r := &Report{Injections: int(f.injections.Load()), FailedCalls: failed, Events: f.record.events}
 	r.Violations, r.Sent, r.Served = f.record.Judge()
 	for _, ing := range f.ingressList {
 		r.Logs = append(r.Logs, ing.log.String())
--- a/internal/soak/ingress.go
+++ b/internal/soak/ingress.go
@@ -159,6 +159,9 @@
 	ing.mu.Lock()
 	defer ing.mu.Unlock()
 	ing.injector.Set(f...)
+	if len(f) > 0 {
+		ing.fleet.injections.Add(1)
+	}
 }
 
 // restart sends SIGTERM to the process the given number of times, sends SIGKILL if it is still running after killAfter, and
