Test of a client that leaves while the loop is busy: fix the order of its events

Need: TestClientEOFWhileLoopIsBusy failed once beside other packages. It wants the busy connection's event handled before that of the one that leaves, but asked the latter last: if the blocking task runs in the same turn of the event loop, epoll still has that connection at the head of its list (level-triggered events are put back after each wait), so its request is read before it leaves.

Change: the busy connection is asked last. The test and its checks are otherwise the same.

--- a/internal/front/linger_test.go
+++ b/internal/front/linger_test.go
@@ -244,8 +244,8 @@
 		options.Handler, options.Loops, options.CloseOnClientEOF = &slowHandler{entered: entered, release: release}, 1, true
 	})
 	busy, closer := dialClient(t, addr), dialClient(t, addr)
-	busy.expectLine(sayCommand, "+said\r\n")
 	closer.expectLine(sayCommand, "+said\r\n")
+	busy.expectLine(sayCommand, "+said\r\n") // last: a connection whose event was just handled is first among the next ones
 	blocked, unblock := make(chan struct{}), make(chan struct{})
 	for eventLoop := range srv.loops {
 		if err := eventLoop.Execute(func() { close(blocked); <-unblock }); err != nil {
