Short answers behind a missing one need no further memory: no error in their place

Need: clients that send more at once than the memory allows got -ERR in place of answers that servers had given: 4 clients with 300 commands of 1 kB each, 84 to 88 of 1,200. Cause: a command gives back the memory of its payload before its answer is held, and when other clients have reduced what this one may hold, not even ten bytes fit, although less is needed than was just given back.

Change: a command keeps as much of its memory as its answer needs, if the answer needs no more than the command held. TestShortAnswersAlwaysFit fails without it: 19 of 20 answers were replaced by errors.

--- a/internal/front/memory.go
+++ b/internal/front/memory.go
@@ -43,16 +43,27 @@
 // release gives back all that the command holds, because its reply is being written.
 func (command *pendingCommand) release() { command.hold(-command.heldBytes) }
 
-// releasePayload gives back what the command needed until the core answered it and dropped the payload.
+// answeredBytes returns what the command holds while its answer can't be written yet.
+func (command *pendingCommand) answeredBytes() int {
+	return pendingOverheadBytes + len(command.call.Answer.Payload)
+}
+
+// releasePayload gives back what the command needed until the core answered it and dropped the payload. It keeps what the
+// answer needs, if that is no more, so that no other command takes it.
 func (command *pendingCommand) releasePayload() {
-	command.hold(min(command.heldBytes, pendingOverheadBytes) - command.heldBytes)
+	kept := command.answeredBytes()
+	if kept > command.heldBytes {
+		kept = min(command.heldBytes, pendingOverheadBytes)
+	}
+	command.hold(kept - command.heldBytes)
 }
 
 // holdAnswer takes memory for an answer that can't be written yet, because replies before it are missing or unread. If there
 // is none the client gets an error in place of the answer.
 func (command *pendingCommand) holdAnswer() {
 	written := command.heldBytes == 0
-	if written || command.conn.closed || command.reserve(len(command.call.Answer.Payload)) {
+	missing := command.answeredBytes() - command.heldBytes
+	if written || command.conn.closed || missing <= 0 || command.reserve(missing) {
 		return
 	}
 	command.conn.loop.server.outOfMemory.Add(1)
--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"cometpond/internal/config"
 	"cometpond/internal/core"
@@ -137,6 +138,30 @@
 	waitFor(t, func() bool { return budget.Used() == 0 })
 }
 
+// Guards against answers that are replaced by errors although they need less memory than their own commands have given back:
+// other clients have taken what this one could have had.
+func TestShortAnswersAlwaysFit(t *testing.T) {
+	const budgetBytes, n, size = 1 << 20, 60, 3000
+	_, fake, addr, budget := startBudgeted(t, budgetBytes)
+	client := connect(t, addr, true)
+	client.send(strings.Repeat(submit("k", size, true), 20))
+	calls := []*core.Call{}
+	for range 20 {
+		calls = append(calls, <-fake.held)
+	}
+	for used := -1; used != budget.Used(); { // until no other client gets any more
+		used = budget.Used()
+		other := connect(t, addr, true)
+		go func() { _, _ = other.Write([]byte(strings.Repeat(submit("other", size, true), n))) }()
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, call := range calls[1:] {
+		answerCall(call, core.Answer{Payload: []byte("+answer\r\n")})
+	}
+	answerCall(calls[0], core.Answer{Payload: []byte("+answer\r\n")})
+	client.expect("", strings.Repeat("+answer\r\n", len(calls)))
+}
+
 // An answer does not wait until reading resumes: it is written as soon as those before it are.
 func TestAnswersAreWrittenWhileReadingIsPaused(t *testing.T) {
 	srv, fake, addr := startServer(t, func(limits *config.FrontLimits) { limits.MaxPipelined = 10; limits.MaxArgumentBytes = 64 << 10 })
