Under edge clients with requests in progress are never left unread: their end is noticed

Cause: with 256 commands in progress, with its part of the memory used up, or with answers that it does not read, the front read a connection no further. The end of the stream lies behind what was sent, so EPOLLRDHUP does not come. Evidence (a trial with a line for each pause and end): reading was paused 1 to 6 ms after the close and resumed only with answers, and the last attempt had arrived when the front saw the end; so the core stops at once, and the end is seen late.

Change: such connections are read on. What may not be started yet is kept while the first half of the memory budget has room, and commands beyond that are dropped, counted and refused in their place (internal/readahead, without I/O). A long command that would wait for input memory behind others of its client is refused at once. cometpond serve pauses reading as before. The stand-in for a server notes when a command is read, not when the one before it is answered.

--- a/internal/edge/memory_test.go
+++ b/internal/edge/memory_test.go
@@ -82,6 +82,12 @@
 	return resp.AppendCommand(nil, verb, "00000000b4d65521", newID(), "c="+class+",t=basic,d=2400,units=1,spread=1,first=0", strings.Repeat("b", body))
 }
 
+// bodyRequest returns a client's command of a class that is safe to repeat, with a body of that many bytes.
+func bodyRequest(id, class string, withinMS, body int) []byte {
+	return resp.AppendCommand(nil, "SVC.QUERY", "00000000b4d65521", id, fmt.Sprintf("c=%s,t=basic,d=%d,units=1,spread=1,first=0", class, withinMS),
+		strings.Repeat("b", body))
+}
+
 // flood opens connections that each send the commands at full speed, and then read what they are sent, unless unread is set.
 // All are closed at the end of the test.
 func flood(t *testing.T, addr string, connections int, unread bool, commands func() []byte) {
--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -64,6 +64,7 @@
 	if len(unanswered) > 0 {
 		srv.core.Disconnected(unanswered)
 	}
+	conn.stopReadAhead()
 	conn.pending, conn.firstPending, conn.input, conn.unsent = nil, 0, nil, nil
 	conn.holdBytes(-conn.heldBytes)
 }
@@ -98,7 +99,9 @@
 func (conn *clientConn) idle() bool { return conn.settled() && !conn.commandStarted() }
 
 // commandStarted reports whether a command has begun to arrive.
-func (conn *clientConn) commandStarted() bool { return len(conn.input) > 0 || conn.skipper != nil }
+func (conn *clientConn) commandStarted() bool {
+	return len(conn.input) > 0 || conn.ahead != nil || conn.skipper != nil
+}
 
 // settled reports whether all commands of a connection have their replies, and the system has accepted these.
 func (conn *clientConn) settled() bool {
@@ -153,6 +156,7 @@
 		conn.readingPaused = false
 		conn.socket.ResumeReading() // to notice when the client closes
 	}
+	conn.stopReadAhead()
 	conn.skipper = nil
 	conn.lingering, conn.input, conn.incompleteSince, conn.lingerUntil = true, nil, time.Time{}, nowS()+maxLingerS
 	loop.server.lingering.Add(1)
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -9,6 +9,7 @@
 	"cometpond/internal/eventloop"
 	"cometpond/internal/idleconn"
 	"cometpond/internal/intake"
+	"cometpond/internal/readahead"
 	"cometpond/internal/resp"
 )
 
@@ -32,6 +33,7 @@
 	inputSentAt      float64             // when the input being parsed may have been sent, if before a pause of the process; else 0
 	lastReadSentAt   float64             // the same for the last read
 	arrivals         intake.Arrivals     // since when input that is not parsed yet has been waiting
+	ahead            *readahead.Queue    // input that arrived while parsing was paused, nil if none; input is empty then
 	skipper          *resp.Skipper       // reads a command that is not kept, nil if none
 	args             [][]byte            // arguments of a command, kept to reuse the memory
 	pending          []*pendingCommand   // commands whose replies have not been written, from firstPending on
@@ -68,6 +70,7 @@
 	reply     []byte // the reply, if it was made without the core
 	done      bool   // the reply or the core's answer is there
 	heldBytes int    // its part of the connection's heldBytes
+	repeats   int    // so many further commands in a row get the same reply
 }
 
 // pendingCount returns the number of commands whose replies have not been written.
@@ -84,11 +87,19 @@
 	if age > 0 {
 		conn.lastReadSentAt = now - age
 	}
-	if len(conn.input) == 0 || conn.inputSentAt == 0 {
+	if len(conn.unparsed()) == 0 || conn.inputSentAt == 0 {
 		conn.inputSentAt = conn.lastReadSentAt
 	}
 }
 
+// unparsed returns the input that is not parsed yet.
+func (conn *clientConn) unparsed() []byte {
+	if conn.ahead != nil {
+		return conn.ahead.Input()
+	}
+	return conn.input
+}
+
 // handleInput processes the data of one read, which is valid until it returns.
 func (conn *clientConn) handleInput(data []byte) eventloop.Action {
 	if conn.lingering {
@@ -104,6 +115,9 @@
 	if conn.skipper != nil {
 		return conn.skipInput(data)
 	}
+	if conn.ahead != nil {
+		return conn.addAhead(data)
+	}
 	src := data
 	if len(conn.input) > 0 {
 		conn.input = append(conn.input, data...)
@@ -123,11 +137,12 @@
 // parseBuffered continues parsing the input that was received before.
 func (conn *clientConn) parseBuffered() eventloop.Action {
 	conn.parsingPaused, conn.blockedBytes = false, 0
-	if conn.closing || len(conn.input) == 0 {
+	input := conn.unparsed()
+	if conn.closing || len(input) == 0 && conn.ahead == nil {
 		return conn.writeReplies()
 	}
-	if len(conn.input) >= conn.minInput {
-		return conn.parseInput(conn.input)
+	if len(input) >= conn.minInput {
+		return conn.parseInput(input)
 	}
 	if action := conn.writeReplies(); action != eventloop.None || conn.lingering {
 		return action
@@ -135,8 +150,8 @@
 	return conn.reserveInput()
 }
 
-// parseInput parses and starts the commands at the beginning of data, which is conn.input or the data of the last read, and
-// keeps the rest.
+// parseInput parses and starts the commands at the beginning of data, which is conn.unparsed() or the data of the last read,
+// and keeps the rest.
 func (conn *clientConn) parseInput(data []byte) eventloop.Action {
 	loop, srv := conn.loop, conn.loop.server
 	used, now := 0, nowS()
@@ -186,24 +201,28 @@
 	if conn.minInput > 0 && conn.incompleteSince.IsZero() {
 		conn.incompleteSince = time.Now()
 	}
-	if conn.closing || protocolErr != nil {
+	if protocolErr != nil {
+		conn.rejectInput(protocolErr)
+	}
+	if conn.closing {
 		used = len(data) // input after the last command is ignored
 	}
 	if !conn.parsingPaused {
 		conn.arrivals.ParsedAll()
 	}
-	conn.input = resp.Unprocessed(conn.input, data, used, min(conn.minInput, srv.readBytes))
-	conn.submitCalls()
-	if protocolErr != nil {
-		conn.rejectInput(protocolErr)
+	if conn.ahead == nil {
+		conn.input = resp.Unprocessed(conn.input, data, used, min(conn.minInput, srv.readBytes))
+	} else if conn.ahead.Consume(used); !conn.parsingPaused {
+		conn.finishReadAhead()
 	}
+	conn.submitCalls()
 	if action := loop.writeOutput(conn); action != eventloop.None {
 		return action
 	}
 	if action := conn.writeReplies(); action != eventloop.None {
 		return action
 	}
-	if conn.congested && len(conn.input) > 0 {
+	if conn.congested && len(conn.unparsed()) > 0 {
 		conn.parsingPaused = true
 	} else if conn.parsingPaused && conn.pendingCount() < srv.options.Limits.MaxPipelined && conn.nextCommandFits() {
 		// Parsing was paused only because the output batch was full, or replies that are written now held the memory.
--- a/internal/front/input.go
+++ b/internal/front/input.go
@@ -140,6 +140,9 @@
 		conn.bytesBeforeLogin = 0
 		srv.reserveBeforeLogin(conn, 0)
 	}
+	if conn.ahead != nil {
+		return eventloop.None
+	}
 	needed := max(len(conn.input), conn.minInput)
 	switch {
 	case needed <= srv.readBytes:
@@ -150,14 +153,14 @@
 		}
 		return eventloop.None
 	case conn.parsingPaused:
-		return conn.pauseReading()
+		return conn.leaveUnparsed()
 	case needed <= conn.grantedBytes:
 		return eventloop.None
 	}
 	// A long command behind others takes no input memory while it would have to wait for these anyway.
 	if blocked := commandBytes(needed); conn.pendingCount() > 0 && !srv.options.Memory.Fits(conn.heldBytes, blocked) {
 		conn.parsingPaused, conn.blockedBytes = true, blocked
-		return conn.pauseReading()
+		return conn.leaveUnparsed()
 	}
 	if srv.reserveInput(conn, needed) == intake.Proceed {
 		conn.grantedBytes = needed
@@ -167,6 +170,22 @@
 		return eventloop.None
 	}
 	conn.awaitingMemory = true
+	if conn.mustReadOn() && conn.pendingCount() > 0 {
+		srv.removeFromPool(conn)
+		return conn.startSkipping()
+	}
+	return conn.pauseReading()
+}
+
+// mustReadOn reports whether the connection has to be read while commands of the client are in progress, so that its end is
+// noticed: they are then to be cancelled at once.
+func (conn *clientConn) mustReadOn() bool { return conn.loop.server.options.CloseOnClientEOF }
+
+// leaveUnparsed reads ahead or pauses reading, while parsing is paused.
+func (conn *clientConn) leaveUnparsed() eventloop.Action {
+	if conn.mustReadOn() {
+		return conn.readAhead()
+	}
 	return conn.pauseReading()
 }
 
--- a/internal/front/output.go
+++ b/internal/front/output.go
@@ -122,10 +122,13 @@
 		conn.usage.LastUsedAtS = nowS()
 	}
 	for conn.firstPending < len(conn.pending) && conn.pending[conn.firstPending].done && !conn.congested {
-		loop.output = conn.appendReply(loop.output, conn.pending[conn.firstPending])
-		conn.pending[conn.firstPending].release()
-		conn.pending[conn.firstPending] = nil
-		conn.firstPending++
+		command := conn.pending[conn.firstPending]
+		loop.output = conn.appendReply(loop.output, command)
+		if command.repeats--; command.repeats < 0 {
+			command.release()
+			conn.pending[conn.firstPending] = nil
+			conn.firstPending++
+		}
 		if len(loop.output) >= outputBatchBytes {
 			if action := loop.writeOutput(conn); action != eventloop.None {
 				return action
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -60,9 +60,9 @@
 	// argument. With nil the front serves this gateway's own commands, to the clients of Registry.
 	Handler  CommandHandler
 	Registry *access.Registry
-	// CloseOnClientEOF makes the end of a client's connection, or of its sending side, take effect at once, even while
-	// reading is paused: its open requests are cancelled and input received before the end is discarded. Otherwise that
-	// input is processed first.
+	// CloseOnClientEOF makes the end of a client's connection, or of its sending side, take effect at once: its open requests
+	// are cancelled and input received before the end is discarded. Therefore reading is never paused while requests are
+	// open; commands that can be neither started nor kept are refused. Otherwise the input is processed first.
 	CloseOnClientEOF bool
 	IdleLimits       idleconn.Limits // when idle connections are closed or evicted; with the zero value they are kept
 	Info             func() string   // returns the text of the INFO command
--- a/internal/front/skip.go
+++ b/internal/front/skip.go
@@ -61,9 +61,6 @@
 	conn.loop.server.commands.Add(1)
 	conn.usage.Commands++
 	conn.usage.LastUsedAtS = nowS()
-	command := &pendingCommand{conn: conn}
-	conn.pending = append(conn.pending, command)
-	command.refuse("no memory to receive the command")
-	command.hold(pendingOverheadBytes)
+	conn.refuseSkipped(1)
 	return conn.parseInput(data[used:])
 }
--- a/internal/intake/arrival.go
+++ b/internal/intake/arrival.go
@@ -67,6 +67,17 @@
 	}
 }
 
+// DropLast forgets the bytes that were read last: they are not kept.
+func (arr *Arrivals) DropLast(bytes int) {
+	for n := len(arr.buffered); n > 0 && bytes > 0; n-- {
+		dropped := min(bytes, arr.buffered[n-1].bytes)
+		bytes -= dropped
+		if arr.buffered[n-1].bytes -= dropped; arr.buffered[n-1].bytes == 0 {
+			arr.buffered = arr.buffered[:n-1]
+		}
+	}
+}
+
 // Parse records that bytes were parsed, and returns when the last of them had arrived at the earliest, or now if that is
 // not known.
 func (arr *Arrivals) Parse(now float64, bytes int) (arrivedAt float64) {
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -27,17 +27,28 @@
 	if heldBytes == 0 {
 		return used+2*int64(bytes) <= budget.limit
 	}
+	return budget.fitsFurther(used, heldBytes, bytes)
+}
+
+func (budget *Budget) fitsFurther(used int64, heldBytes, bytes int) bool {
 	return int64(heldBytes)+int64(bytes) <= budget.limit/2-used
 }
 
 // Reserve takes bytes for a holder that has heldBytes, and reports false if it may not take them.
 func (budget *Budget) Reserve(heldBytes, bytes int) bool {
-	if budget == nil {
-		return true
-	}
+	return budget == nil || budget.reserve(budget.fits, heldBytes, bytes)
+}
+
+// ReserveFurther is Reserve for a holder that counts as having something, whatever heldBytes is: its part comes from the first
+// half.
+func (budget *Budget) ReserveFurther(heldBytes, bytes int) bool {
+	return budget == nil || budget.reserve(budget.fitsFurther, heldBytes, bytes)
+}
+
+func (budget *Budget) reserve(fits func(used int64, heldBytes, bytes int) bool, heldBytes, bytes int) bool {
 	for {
 		used := budget.used.Load()
-		if !budget.fits(used, heldBytes, bytes) {
+		if !fits(used, heldBytes, bytes) {
 			return false
 		}
 		if budget.used.CompareAndSwap(used, used+int64(bytes)) {
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -63,6 +63,12 @@
 	if budget.Reserve(0, 51) || !budget.Reserve(0, 50) || !budget.Reserve(0, 25) || budget.Used() != 75 {
 		t.Error("the budget must be free again")
 	}
+	if budget.ReserveFurther(0, 1) || budget.Used() != 75 {
+		t.Error("a further byte fits although the first half is used up")
+	}
+	if budget.Release(60); budget.ReserveFurther(0, 36) || !budget.ReserveFurther(0, 35) || budget.Used() != 50 {
+		t.Error("what is free of the first half must be available")
+	}
 	var unlimited *Budget
 	if unlimited.Add(1); !unlimited.Reserve(1<<40, 1<<40) || !unlimited.Fits(0, 1) || unlimited.Used() != 0 {
 		t.Error("no budget must mean no limit")
--- a/internal/resp/skip.go
+++ b/internal/resp/skip.go
@@ -15,6 +15,14 @@
 // NewSkipper returns a Skipper that is at the beginning of a command.
 func NewSkipper(limits Limits) *Skipper { return &Skipper{limits: limits} }
 
+// Reset puts the Skipper at the beginning of a command.
+func (skipper *Skipper) Reset() {
+	*skipper = Skipper{limits: skipper.limits, line: skipper.line[:0]}
+}
+
+// Started reports whether a part of the command was read.
+func (skipper *Skipper) Started() bool { return skipper.started || len(skipper.line) > 0 }
+
 // Skip reads data and returns how many bytes of it belong to the command, and whether the command ends with them. An error
 // is a ProtocolError.
 func (skipper *Skipper) Skip(data []byte) (used int, done bool, err error) {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -146,7 +146,8 @@
 
 // ReceivedCommand is a command that a PlatformBackend received.
 type ReceivedCommand struct {
-	Conn  int // the connection's number
+	Conn  int       // the connection's number
+	At    time.Time // when its last byte was read
 	Words []string
 }
 
@@ -238,23 +239,40 @@
 	}
 }
 
-// serve answers the commands of one connection. It answers INFO itself.
+// maxUnansweredCommands bounds the commands of one connection that were read and not answered.
+const maxUnansweredCommands = 1024
+
+// serve reads the commands of one connection as they arrive, and answers them one after the other. It answers INFO itself.
 func (backend *PlatformBackend) serve(c net.Conn, n int) {
+	commands := make(chan ReceivedCommand, maxUnansweredCommands)
+	backend.goroutines.Add(1)
+	go func() {
+		defer backend.goroutines.Done()
+		defer close(commands)
+		readCommands(c, n, commands)
+	}()
+	for command := range commands {
+		if strings.EqualFold(command.Words[0], "INFO") {
+			_, _ = c.Write(resp.AppendBulk(nil, "util=0.50,latency_ms=2"))
+		} else {
+			backend.answer(c, command)
+		}
+	}
+}
+
+// readCommands reads the commands of a connection until it ends.
+func readCommands(c net.Conn, n int, commands chan<- ReceivedCommand) {
 	var in []byte
 	buf := make([]byte, 16<<10)
 	for {
 		args, used, _, err := resp.ParseCommand(in, nil, resp.DefaultLimits)
 		if err == nil {
-			s := ReceivedCommand{Conn: n}
+			command := ReceivedCommand{Conn: n, At: time.Now()}
 			for _, a := range args {
-				s.Words = append(s.Words, string(a))
+				command.Words = append(command.Words, string(a))
 			}
 			in = in[used:]
-			if strings.EqualFold(s.Words[0], "INFO") {
-				_, _ = c.Write(resp.AppendBulk(nil, "util=0.50,latency_ms=2"))
-			} else {
-				backend.answer(c, s)
-			}
+			commands <- command
 			continue
 		}
 		k, err := c.Read(buf)
