Ask discovery every 0.15 s however long it is down, and wait for slow answers beside it

Cause: after 40 failures in a row a call for the whole list was given 0.7 s in place of 0.15 s, in case discovery or this end is slow. One call was out at a time, so a call that the agent had received before its return, and never answers, held up the next one. Evidence: in the record of the case the calls come every 0.2 s up to 13.1 s, then every 0.75 s; with outages of 3 to 9 s all is in time.

Change: two calls in place of one that has to wait for both, an answer that is slow and one that never comes. One is given up after 0.15 s of silence and made again; beside it, once a call for the whole list has failed, one waits for 2 s. The first answer ends the other call, and answers of ended calls are not applied. After silence no pause follows.

--- a/internal/edge/endpoints/endpoints_test.go
+++ b/internal/edge/endpoints/endpoints_test.go
@@ -72,16 +72,17 @@
 	if poller.HandleList(List{Version: 5}); !strings.Contains(poller.NextRequest().Path, "since=5") {
 		t.Fatal("the version of the changes is not used")
 	}
-	poller.HandleFailure()
+	poller.HandleFailure(0)
 	if request := poller.NextRequest(); request.DelayS <= 0 || request.DelayS >= 0.1 || request.Path != "/api/targets" {
 		t.Fatalf("after a failure: %+v", request)
 	}
-	for n := range 100 { // discovery is down: a change that it has when it comes back counts as known at once
-		poller.HandleFailure()
+	for n := range 500 { // discovery is down: a change that it has when it comes back counts as known at once
+		tookS := []float64{0, 0.03, 0.149, 0.15, 0.7}[n%5]
+		poller.HandleFailure(tookS)
 		request := poller.NextRequest()
-		if request.Path != "/api/targets" || request.DelayS < 0.01 || request.FirstByteTimeoutS > request.TimeoutS ||
-			n < 35 && request.DelayS+request.FirstByteTimeoutS > 0.21 || request.DelayS+request.FirstByteTimeoutS > 1 {
-			t.Fatalf("after %d failures: %+v", n+2, request)
+		if request.Path != "/api/targets" || request.SilenceTimeoutS > request.TimeoutS || request.DelayS > 0.05 ||
+			tookS+request.DelayS < 0.05 || request.DelayS > 0 && tookS+request.DelayS > 0.151 || request.SilenceTimeoutS > 0.15 {
+			t.Fatalf("after %d failures, the last after %v s: %+v", n+2, tookS, request)
 		}
 	}
 	poller.HandleList(List{Version: 6, Full: true})
@@ -98,30 +99,30 @@
 	const silent, refused, reset, ended, half, changes = 0, 1, 2, 3, 4, 5 // ways in which a request fails
 	elapse := func(poller *Poller, failure int) float64 {
 		request := poller.NextRequest()
-		took := request.DelayS
+		took := 0.0
 		switch failure {
-		case silent: // until the first byte's timeout
-			took += request.FirstByteTimeoutS
+		case silent:
+			took = request.SilenceTimeoutS
 		case reset, ended, half:
-			took += request.TimeoutS
+			took = request.TimeoutS
 		case refused:
-			took += connectTimeoutS
+			took = connectTimeoutS
 		}
 		if failure == changes {
 			poller.HandleList(List{Version: 9})
 		} else {
-			poller.HandleFailure()
+			poller.HandleFailure(took)
 		}
-		return took
+		return request.DelayS + took
 	}
 	synced := func() *Poller { w := NewPoller(List{}); w.HandleList(List{Version: 1, Full: true}); return w }
 	starts := map[string]func() (*Poller, float64){
 		"long poll":    func() (*Poller, float64) { return synced(), 0 },
-		"full request": func() (*Poller, float64) { w := synced(); w.HandleFailure(); return w, -w.NextRequest().DelayS }, // just sent
+		"full request": func() (*Poller, float64) { w := synced(); w.HandleFailure(0); return w, -w.NextRequest().DelayS }, // just sent
 		"many failures": func() (*Poller, float64) {
 			w := synced()
-			for range 60 {
-				w.HandleFailure()
+			for range 500 {
+				w.HandleFailure(0)
 			}
 			return w, 0
 		},
@@ -374,6 +375,36 @@
 	}
 }
 
+// A patient request is sent beside the others while these ask for the full list in vain, and only then.
+func TestPatientRequest(t *testing.T) {
+	poller := NewPoller(List{})
+	needed := func() bool {
+		request, needed := poller.PatientRequest()
+		if request.Path != "/api/targets" || request.SilenceTimeoutS < 1.6 || request.TimeoutS > 3 {
+			t.Fatalf("%+v", request)
+		}
+		return needed
+	}
+	for _, step := range []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"at the start", func() {}, false},
+		{"the full list was not answered", func() { poller.HandleFailure(0.15) }, true},
+		{"the full list has come", func() { poller.HandleList(List{Version: 1, Full: true}) }, false},
+		{"a long poll has failed", func() { poller.HandleFailure(2.7) }, false},
+		{"the full list was not answered then", func() { poller.HandleFailure(0.15) }, true},
+		{"a new address", poller.Reset, false},
+		{"the full list was refused", func() { poller.HandleFailure(0) }, true},
+		{"changes have come in its place", func() { poller.HandleList(List{Version: 2}) }, false},
+	} {
+		if step.do(); needed() != step.want {
+			t.Errorf("%s: needed %v, want %v", step.name, !step.want, step.want)
+		}
+	}
+}
+
 // While discovery accepts requests without answering, they are repeated at short intervals, so that the full list is requested
 // within a quarter of a second after it answers again.
 func TestRetriesOftenWhileDiscoveryIsDown(t *testing.T) {
