A connection to discovery that hangs while it is opened holds up no further call

Change: up to 8 connections to discovery in place of two, as many as can be opening at once and two more.

--- a/internal/edge/endpoints/client.go
+++ b/internal/edge/endpoints/client.go
@@ -23,8 +23,9 @@
 // maxAnswerBytes limits the size of an answer.
 const maxAnswerBytes = 1 << 20
 
-// maxConnections limits the connections to discovery.
-const maxConnections = 2
+// maxConnections limits the connections to discovery: for two requests, and for those whose connection is still being opened
+// when they are given up. These must not hold up the next ones.
+const maxConnections = 8
 
 // Client fetches lists of servers from discovery and passes them to an Applier.
 type Client struct {
--- a/internal/edge/endpoints/outage_test.go
+++ b/internal/edge/endpoints/outage_test.go
@@ -1,11 +1,15 @@
 package endpoints
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cometpond/internal/standin"
 )
 
@@ -92,6 +96,53 @@
 	}
 }
 
+// Guards against a connection to discovery that hangs while it is opened: it must not hold up the requests after it.
+func TestHangingConnectionDelaysNoRequest(t *testing.T) {
+	listener, fill := fullListener(t)
+	_, received := follow(t, listener.Addr().String())
+	time.Sleep(700 * time.Millisecond)
+	for _, conn := range fill {
+		conn.Close()
+	}
+	discovery := startDiscovery(t, host("s-1"))
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, discovery.List()) })}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	accepting := time.Now()
+	waitFor(t, "the list", func() bool { n, _ := received.last(); return n > 0 })
+	if took := time.Since(accepting); took > maxUnawareness {
+		t.Errorf("the list came %v after connections were accepted again, want %v at most", took, maxUnawareness)
+	}
+}
+
+// fullListener returns a listener whose queue is full, so that new connections hang, and the connections that fill it.
+func fullListener(t *testing.T) (net.Listener, []net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if controlErr := raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), 0) }); controlErr != nil || err != nil {
+		t.Fatal(controlErr, err)
+	}
+	var fill []net.Conn
+	for len(fill) < 10 {
+		conn, err := net.DialTimeout("tcp", listener.Addr().String(), 100*time.Millisecond)
+		if err != nil {
+			return listener, fill
+		}
+		t.Cleanup(func() { conn.Close() })
+		fill = append(fill, conn)
+	}
+	t.Fatal("connections to a full queue are still accepted")
+	return nil, nil
+}
+
 // Guards against slow answers that are given up each time: discovery takes as long for every request, however often it is asked.
 func TestSlowAnswersAreUsed(t *testing.T) {
 	for _, delay := range []time.Duration{200 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond} {
