Reading ahead: a client that stops in a dropped command is disconnected in time

Need: found by reading the change again. A connection that had reached the bound of reading ahead in the middle of a command, and was to skip the rest of it, had no time by which that rest has to come: a client that stops there kept its connection for ever. On the way out of a process, a connection with input that was read ahead and no request in progress could be closed with its commands unanswered.

Change: the time of an incomplete command begins when its skipping does; closeIdle leaves connections alone that have read ahead, as it did while they were paused.

--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -38,7 +38,8 @@
 // closeIdle closes the loop's connections that are idle, and with includeIncomplete also others that wait for no reply.
 func (loop *connLoop) closeIdle(includeIncomplete bool) {
 	for conn := range loop.conns {
-		if conn.idle() && !conn.socket.HasUnread() || includeIncomplete && !conn.readingPaused && conn.pendingCount() == 0 {
+		incomplete := includeIncomplete && !conn.readingPaused && conn.ahead == nil && conn.pendingCount() == 0
+		if incomplete || conn.idle() && !conn.socket.HasUnread() {
 			loop.apply(conn, loop.closeGracefully(conn, shuttingDown))
 		}
 	}
--- a/internal/front/readahead.go
+++ b/internal/front/readahead.go
@@ -10,9 +10,6 @@
 // readAhead has the connection read on while parsing is paused: a client that has sent much and disconnects has to be
 // noticed, and the end of its connection lies behind all that it has sent.
 func (conn *clientConn) readAhead() eventloop.Action {
-	if conn.ahead != nil {
-		return eventloop.None
-	}
 	srv := conn.loop.server
 	if conn.grantedBytes > 0 {
 		conn.grantedBytes = 0
@@ -40,6 +37,9 @@
 	if conn.closing {
 		return // what was dropped is behind the last command
 	}
+	if rest.Skipper != nil {
+		conn.incompleteSince = time.Now()
+	}
 	if rest.Dropped > 0 {
 		srv.commands.Add(uint64(rest.Dropped))
 		srv.outOfMemory.Add(uint64(rest.Dropped))
--- a/internal/front/readahead_test.go
+++ b/internal/front/readahead_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"cometpond/internal/config"
 	"cometpond/internal/core"
@@ -75,6 +77,43 @@
 	}
 }
 
+// Guards against a client that stops in the middle of a command which is dropped: it is disconnected like any other that does
+// not finish its command, after its answers.
+func TestIncompleteCommandReadAheadTimesOut(t *testing.T) {
+	budget := membudget.New(100_000)
+	_, fake, addr := startServerWith(t, func(limits *config.FrontLimits) {
+		limits.MaxPipelined, limits.MaxInputBytes, limits.PartialTimeout = 1, 1<<20, 100*time.Millisecond
+	}, func(options *Options) {
+		options.Handler, options.Loops, options.CloseOnClientEOF, options.Memory = keyHandler{}, 1, true, budget
+	})
+	for _, kept := range []bool{true, false} {
+		client := dialClient(t, addr)
+		text := holdCommands(2, 0)
+		if !kept {
+			text = append(holdCommands(1, 0), holdCommands(40, 4000)...) // more than the budget holds
+		}
+		client.write(string(text[:len(text)-5]))
+		time.Sleep(20 * time.Millisecond)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			for {
+				select {
+				case call := <-fake.held:
+					answerCall(call, core.Answer{})
+				case <-time.After(500 * time.Millisecond):
+					return
+				}
+			}
+		}()
+		answers, err := io.ReadAll(client.reader)
+		if want := map[bool]string{true: "+k0\r\n", false: "-BUSY\r\n"}[kept]; err != nil || !strings.HasSuffix(string(answers), want) {
+			t.Errorf("kept %v: answers %q and %v, want %q and the end of the connection", kept, answers, err, want)
+		}
+		<-stopped
+	}
+}
+
 // waitUntilRead waits until the socket of the only connection stays empty.
 func waitUntilRead(t *testing.T, srv *Server) {
 	t.Helper()
