--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -55,15 +55,14 @@
 	return platform
 }
 
-// freeAddr returns a loopback address with a port that was free a moment ago.
+// freeAddr returns a loopback address that an ingress can listen on.
 func freeAddr(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.FreeTCPAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return addr
 }
 
 // request returns a client's command, of the customer that all tests use.
--- a/internal/instance/fronts_test.go
+++ b/internal/instance/fronts_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/base64"
 	"fmt"
-	"net"
 	"os"
 	"strings"
 	"sync"
@@ -23,6 +22,7 @@
 
 	"cometpond/internal/config"
 	pb "cometpond/internal/rpc/cometpondv1"
+	"cometpond/internal/standin"
 )
 
 // grpcSettings returns the settings of a gRPC front with one domain for Envoy.
@@ -48,15 +48,14 @@
 	return c
 }
 
-// freeUDP returns a local UDP address that is free at the moment.
+// freeUDP returns a loopback address for datagrams that an instance can use.
 func freeUDP(t *testing.T) string {
 	t.Helper()
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	addr, err := standin.FreeUDPAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	return c.LocalAddr().String()
+	return addr
 }
 
 // A customer that uses both fronts of two instances gets its quota once: the burst and the units refilled meanwhile.
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -80,10 +81,11 @@
 "scoreParts":{"worstTenant":0.15}}`, d.ingresses, me, strings.Join(profiles, ","))
 }
 
-// configuration is the configuration file of one ingress.
+// configuration is the configuration file of one ingress. It is safe for concurrent use.
 type configuration struct {
 	folder, listen, peerListen string
 	peers                      []string
+	writing                    sync.Mutex // held while the file is replaced
 }
 
 func (c *configuration) path() string { return filepath.Join(c.folder, "config.json") }
@@ -94,6 +96,8 @@
 	text := fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":1.0,"memory_mb":96,"sockets":%d},
 "peer_listen":%q,"peers":[%s],"peers_all":"","known":%s,"settings":%s}`,
 		name, c.listen, discovery, seed, sockets, c.peerListen, peers, known, settings)
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	next := c.path() + ".next"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("soak: configuration: %w", err)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -134,7 +134,7 @@
 func (f *fleet) startAll(folder string) error {
 	var peers []string
 	for range f.ingresses {
-		addr, err := freeUDP()
+		addr, err := standin.FreeUDPAddr()
 		if err != nil {
 			return err
 		}
@@ -143,7 +143,7 @@
 	for i := range f.ingresses {
 		ing := &ingress{fleet: f, number: i}
 		f.ingressList = append(f.ingressList, ing)
-		listen, err := freeTCP()
+		listen, err := standin.FreeTCPAddr()
 		if err != nil {
 			return err
 		}
@@ -263,23 +263,3 @@
 		last = now
 	}
 }
-
-// freeTCP returns a free TCP address on loopback.
-func freeTCP() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("soak: %w", err)
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
-// freeUDP returns a free UDP address on loopback.
-func freeUDP() (string, error) {
-	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		return "", fmt.Errorf("soak: %w", err)
-	}
-	defer c.Close()
-	return c.LocalAddr().String(), nil
-}
--- a/internal/soak/ingress.go
+++ b/internal/soak/ingress.go
@@ -53,6 +53,15 @@
 	return l.text.Write(b)
 }
 
+// maxErrorLogBytes is how much of a log is part of an error.
+const maxErrorLogBytes = 2000
+
+// tail returns the last bytes of the log, at most so many.
+func (l *logBuffer) tail(most int) string {
+	text := l.String()
+	return text[max(0, len(text)-most):]
+}
+
 func (l *logBuffer) String() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -105,7 +114,7 @@
 		select {
 		case err := <-exited:
 			exited <- err
-			return fmt.Errorf("soak: ingress %d exited before it answered PING: %w", ing.number, err)
+			return fmt.Errorf("soak: ingress %d exited before it answered PING: %w; end of its log:\n%s", ing.number, err, ing.log.tail(maxErrorLogBytes))
 		case <-time.After(5 * time.Millisecond):
 		}
 		if time.Since(processRecord.Started) > 3*maxStartTime {
